--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,348 @@
+//! What goes into a [`Router`](crate::Router) and what comes out of it: settings, events, actions.
+//!
+//! Times are microseconds on the host's own clock, which only moves forward.
+
+/// A moment or a span, in microseconds.
+pub type Micros = u64;
+
+/// 64-bit FNV-1a with a final mix: the same text gives the same number at every router.
+fn number_of(name: &str) -> u64 {
+    let mut h =
+        name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ b as u64).wrapping_mul(0x100_0000_01b3));
+    h = (h ^ (h >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    h ^ (h >> 32)
+}
+
+/// A cache, a parent or the origin. Routers agree on an object's place only if they number members alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MemberId(pub u64);
+
+impl MemberId {
+    /// The number of the member with this name or address.
+    pub fn named(name: &str) -> Self {
+        Self(number_of(name))
+    }
+}
+
+/// An object; each of its parts is kept as a copy of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ObjectId(pub u64);
+
+impl ObjectId {
+    /// The number of the object with this name.
+    pub fn named(name: &str) -> Self {
+        Self(number_of(name))
+    }
+}
+
+/// One try of a client; never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// How often a request of a class may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// As often as one likes.
+    Safe,
+    /// Repeats of its key are discarded within a group of members, for a while after the first send.
+    Keyed { group: KeyGroup, window: Micros },
+    /// Once at most.
+    Unsafe,
+}
+
+/// Which members discard each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// An answer within `aim`, plus `aim_stretch` times its own sending time, earns the full worth.
+    pub aim: Micros,
+    pub aim_stretch: f64,
+    pub deadline: Micros,
+    pub worth: f64,
+    /// Share of the worth that a later answer earns.
+    pub late_worth: f64,
+    pub repeat: Repeat,
+    /// Runs at the origin, is never kept.
+    pub uncacheable: bool,
+    /// Fresh time of a copy; 0: good until purged.
+    pub fresh: Micros,
+    /// How much older than fresh a copy may be when asked for.
+    pub grace: Micros,
+    /// Share of the worth that a copy past its fresh time earns.
+    pub worth_when_old: f64,
+    /// Clients ask for the parts of an object in turn.
+    pub parts: bool,
+}
+
+/// A location's or a hub's place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Zone {
+    /// Routers that serve it.
+    pub routers: u32,
+    /// Place of its hub among the zones.
+    pub hub: usize,
+}
+
+/// What answers tell of how they came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notes {
+    All,
+    HitOnly,
+    None,
+}
+
+/// Which caches may be the source of a fill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Siblings {
+    None,
+    OwnZone,
+    Any,
+}
+
+/// What a member's weight means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    None,
+    Nominal,
+    Rough,
+    Live,
+}
+
+/// How a cold member warms up, and what it bears meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRule {
+    /// Share of its capacity at the start, at least.
+    pub start_share: f64,
+    /// Warm by then, rising evenly, at the latest.
+    pub warm_within: Micros,
+    /// Falls over at this multiple of its present capacity.
+    pub multiple: f64,
+    /// When that lasts so long.
+    pub window: Micros,
+}
+
+/// Told once, at the start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub zone: usize,
+    pub zones: Vec<Zone>,
+    /// Routers in all.
+    pub routers: u32,
+    pub classes: Vec<Class>,
+    /// Member kind of the parents, if there are any.
+    pub parent_kind: Option<usize>,
+    pub origin_kind: Option<usize>,
+    pub weights: Weights,
+    pub notes: Notes,
+    pub siblings: Siblings,
+    /// Requests may go straight to a parent or the origin.
+    pub straight: bool,
+    /// A request may join a fill that is under way.
+    pub joins: bool,
+    pub may_cancel: bool,
+    /// Two attempts of one request may be out together.
+    pub second_copies: bool,
+    pub may_probe: bool,
+    /// Clients are told how long to hold off.
+    pub retry_after: bool,
+    pub max_retry_after: Micros,
+    pub max_attempts: u32,
+    /// Top pace of one answer, KB a second.
+    pub stream_kb_per_s: f64,
+    pub cold_cache: ColdRule,
+    pub cold_parent: ColdRule,
+    /// No copy older than a purge is left anywhere after this.
+    pub purge_done: Micros,
+    /// A final answer still counts so long after the deadline.
+    pub answer_slack: Micros,
+}
+
+/// A member's state on the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the member list.
+#[derive(Clone, Debug)]
+pub struct MemberEntry {
+    pub id: MemberId,
+    pub state: MemberState,
+    pub weight: f64,
+    pub zone: usize,
+    pub kind: usize,
+    pub cell: u64,
+    /// When it last started; 0: long ago.
+    pub started: Micros,
+}
+
+/// News of the member list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListUpdate {
+    /// Changed entries only.
+    Delta,
+    /// The whole list: who is absent has left.
+    Full,
+    /// The whole list as last seen before a restart, possibly stale.
+    Cached,
+    /// The list could not be had; the old one remains.
+    Failed,
+}
+
+/// A client's request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: RequestId,
+    pub class: usize,
+    pub object: ObjectId,
+    pub part: u64,
+    pub group: u64,
+    /// Time left before the client gives this try up.
+    pub left: Micros,
+    /// Size of the answer, where told.
+    pub kb: Option<f64>,
+    /// The client asks again.
+    pub retry: bool,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Ok,
+    /// The member replied with an error; it may have run.
+    Error,
+    /// Turned away by the member or its source; nothing ran.
+    Full,
+    /// No reply in time; it may have run.
+    Timeout,
+    /// No connection; nothing ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Cancelled; it may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+    /// Nothing suitable held; nothing ran.
+    Miss,
+}
+
+/// What an answer tells of how it came about, or why its fill failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    Untold,
+    Hit,
+    Filled,
+    FilledByOrigin,
+    /// Joined a fill under way (on a miss: there is one).
+    Joined,
+    /// From a copy past its fresh time.
+    Old,
+    SourceRefused,
+    SourceUnreachable,
+    SourceLacks,
+    /// All places for fills are taken at the cache.
+    NoFillPlace,
+    OriginFailed,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub request: RequestId,
+    pub attempt: u32,
+    pub member: MemberId,
+    pub status: Status,
+    pub note: Note,
+    /// Since the send.
+    pub elapsed: Micros,
+    /// To the first byte from the source, or to the fill's failure; 0 where untold.
+    pub waited: Micros,
+    /// The request is finished.
+    pub closed: bool,
+}
+
+/// What a router is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Members {
+        update: ListUpdate,
+        entries: Vec<MemberEntry>,
+    },
+    Request(Request),
+    Outcome(Outcome),
+    /// The client has left.
+    Hangup(RequestId),
+    Timer(u64),
+    /// An object, or without one every object of the group, was purged `age` ago.
+    Purge {
+        object: Option<ObjectId>,
+        group: u64,
+        age: Micros,
+    },
+    /// What a probe found, after how long.
+    Probed {
+        member: MemberId,
+        ok: bool,
+        elapsed: Micros,
+    },
+}
+
+/// What a cache does if it lacks the object, and which copies are good enough.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fetch {
+    /// Where a miss is filled from; the member itself: nowhere.
+    pub source: MemberId,
+    /// 0 no copy, no change; 1 to 3 the rank at which the copy is kept.
+    pub keep: u8,
+    /// The oldest copy that will do; 0: the class's fresh time.
+    pub age: Micros,
+    /// Join a fill under way.
+    pub join: bool,
+    /// The source gives only what it holds.
+    pub held_only: bool,
+    /// Serve an ageing copy and renew it behind.
+    pub renew: bool,
+}
+
+/// What a router wants done, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Make an attempt. The attempts of a request are numbered from 0 in the order of these actions.
+    Send {
+        request: RequestId,
+        member: MemberId,
+        timeout: Micros,
+        fetch: Option<Fetch>,
+    },
+    /// Final answer: nothing ran, or a repeat is harmless.
+    Refuse {
+        request: RequestId,
+        retry_after: Option<Micros>,
+    },
+    /// Final answer: failed, no promise.
+    Fail {
+        request: RequestId,
+    },
+    /// Stop waiting for an attempt; its outcome still comes.
+    Cancel {
+        request: RequestId,
+        attempt: u32,
+    },
+    Timer {
+        after: Micros,
+        token: u64,
+    },
+    Probe {
+        member: MemberId,
+    },
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,767 @@
+//! Every decision of the router. Settings, events and actions are in `src/interface.rs`.
+//!
+//! Reading order: constants, state, events (membership, request, outcome, timer, purge), choosing.
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const MS: Micros = 1_000;
+
+/// Open requests are looked at this often: short against any aim, cheap against any budget.
+const TICK: Micros = 25 * MS;
+/// After a source failed, requests bound there accept old copies for this long (the design's own value).
+const STALE_WINDOW: Micros = 10_000 * MS;
+/// A member may have this many times the location's mean under way, for its weight, before it is skipped.
+const BOUND: f64 = 1.25;
+/// ... but below this many requests for each unit of weight nothing is skipped: links are not full yet.
+const BOUND_FLOOR: f64 = 0.6;
+/// With this many requests under way for each unit of weight at every cache, new ones are refused: each
+/// answer takes so many times its sending time, and the aims are gone.
+const REFUSE_ABOVE: f64 = 3.0;
+/// A client told to hold off comes back after this; the backlog is then another one.
+const HOLD_OFF: Micros = 300 * MS;
+/// An answer is due after this plus `DUE_STRETCH` times its sending time.
+const DUE: Micros = 300 * MS;
+const DUE_STRETCH: f64 = 2.0;
+/// So many answers overdue at a member not heard from meanwhile: it is silent.
+const SILENT_COUNT: usize = 2;
+/// Share by which one outcome moves a member's failure mark; the mark over which it is held off; the mark of
+/// a refused or broken connection or of silence; the mark under which it is trusted again.
+const MARK_STEP: f64 = 0.2;
+const MARK_HOLD: f64 = 0.4;
+const MARK_HARD: f64 = 0.5;
+const MARK_TRUST: f64 = 0.3;
+/// A member is first held off for this long, then twice as long each time, up to the longest.
+const HOLD_FIRST: Micros = 500 * MS;
+const HOLD_LONGEST: Micros = 4_000 * MS;
+/// Share of a cold member's told budget that is spent: chance and late arrivals take the rest.
+const COLD_SHARE: f64 = 0.7;
+/// Share by which one answer moves a class's mean sending time.
+const MEAN_STEP: f64 = 0.02;
+/// Purges are remembered this much longer than copies from before them last.
+const PURGE_MARGIN: Micros = 1_000 * MS;
+/// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
+const KEY_MARGIN: Micros = 200 * MS;
+/// Copies remembered as asked for before; two such tables are held.
+const SEEN_MOST: usize = 50_000;
+
+#[derive(Debug, Clone)]
+struct Member {
+    entry: MemberEntry,
+    /// Requests under way at it, and their size.
+    out: u32,
+    out_kb: f64,
+    /// Requests under way that name it as the source.
+    fills: u32,
+    heard: Micros,
+    mark: f64,
+    holds: u32,
+    held_until: Micros,
+    /// As a source, when it last failed.
+    failed_at: Option<Micros>,
+    /// What was sent while it was cold: when, whose, sending time in seconds.
+    spent: VecDeque<(Micros, RequestId, f64)>,
+}
+
+#[derive(Debug, Clone)]
+struct Out {
+    attempt: u32,
+    member: MemberId,
+    source: Option<MemberId>,
+    sent: Micros,
+    cancelled: bool,
+    /// From what the cache holds only, within the grace.
+    stale_try: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Open {
+    req: Request,
+    deadline: Micros,
+    attempts: u32,
+    out: Vec<Out>,
+    /// Caches and sources that failed this request.
+    avoid: Vec<MemberId>,
+    stale_tried: bool,
+    /// First send that may have run, and where.
+    ran: Option<(Micros, MemberId)>,
+    done: bool,
+}
+
+/// The decisions of one router. See [`Router::handle`].
+#[derive(Debug)]
+pub struct Router {
+    set: Settings,
+    born: Option<Micros>,
+    rng: u64,
+    members: BTreeMap<MemberId, Member>,
+    open: BTreeMap<RequestId, Open>,
+    /// Requests with nothing under way, waiting for somebody to send to.
+    parked: BTreeSet<RequestId>,
+    ticking: bool,
+    /// Mean sending time by class, seconds.
+    mean: Vec<f64>,
+    object_purges: BTreeMap<ObjectId, Micros>,
+    group_purges: BTreeMap<u64, Micros>,
+    seen: [BTreeSet<(ObjectId, u64)>; 2],
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Weighted rendezvous: the member with the highest score is the object's home.
+fn score(object: u64, member: MemberId, weight: f64) -> f64 {
+    let u = (mix(object ^ mix(member.0)) >> 11) as f64 / (1_u64 << 53) as f64;
+    -weight / u.max(1e-12).ln().min(-1e-12)
+}
+
+impl Router {
+    /// A router that knows nothing yet but its settings. The seed only spreads timers.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let mean = settings.classes.iter().map(|c| c.aim as f64 / 1e6).collect();
+        Self {
+            set: settings,
+            born: None,
+            rng: seed,
+            members: BTreeMap::new(),
+            open: BTreeMap::new(),
+            parked: BTreeSet::new(),
+            ticking: false,
+            mean,
+            object_purges: BTreeMap::new(),
+            group_purges: BTreeMap::new(),
+            seen: [BTreeSet::new(), BTreeSet::new()],
+        }
+    }
+
+    /// Takes one event and appends what to do about it. `now` never runs backwards.
+    pub fn handle(&mut self, now: Micros, event: Event, act: &mut Vec<Action>) {
+        self.born.get_or_insert(now);
+        match event {
+            Event::Members { update, entries } => self.on_members(update, entries),
+            Event::Request(req) => self.on_request(now, req, act),
+            Event::Outcome(outcome) => self.on_outcome(now, outcome, act),
+            Event::Hangup(id) => self.on_hangup(id, act),
+            Event::Timer(_) => self.on_timer(now, act),
+            Event::Purge { object, group, age } => self.on_purge(now, object, group, age),
+            Event::Probed { .. } => {}
+        }
+        if !self.ticking && !self.open.is_empty() {
+            self.ticking = true;
+            self.rng = mix(self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15));
+            act.push(Action::Timer { after: TICK + self.rng % (TICK / 8), token: 0 });
+        }
+    }
+
+    // ---- membership
+
+    fn on_members(&mut self, update: ListUpdate, entries: Vec<MemberEntry>) {
+        if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
+            let listed: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
+            for m in self.members.values_mut().filter(|m| !listed.contains(&m.entry.id)) {
+                m.entry.state = MemberState::Gone;
+            }
+        }
+        for mut entry in entries {
+            entry.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+            match self.members.get_mut(&entry.id) {
+                Some(m) => {
+                    if entry.started != m.entry.started {
+                        // Another process: what was known of the old one's health is void.
+                        (m.mark, m.holds, m.held_until, m.failed_at) = (0.0, 0, 0, None);
+                    }
+                    m.entry = entry;
+                }
+                None => {
+                    let m = Member {
+                        out: 0,
+                        out_kb: 0.0,
+                        fills: 0,
+                        heard: 0,
+                        mark: 0.0,
+                        holds: 0,
+                        held_until: 0,
+                        failed_at: None,
+                        spent: VecDeque::new(),
+                        entry,
+                    };
+                    self.members.insert(m.entry.id, m);
+                }
+            }
+        }
+    }
+
+    // ---- request
+
+    fn on_request(&mut self, now: Micros, req: Request, act: &mut Vec<Action>) {
+        let id = req.id;
+        if req.class >= self.set.classes.len() {
+            return act.push(Action::Refuse { request: id, retry_after: None });
+        }
+        if let Some(kb) = req.kb.filter(|_| self.set.stream_kb_per_s > 0.0) {
+            let mean = &mut self.mean[req.class];
+            *mean += MEAN_STEP * (kb / self.set.stream_kb_per_s - *mean);
+        }
+        let deadline = now + req.left;
+        let open = Open {
+            req,
+            deadline,
+            attempts: 0,
+            out: Vec::new(),
+            avoid: Vec::new(),
+            stale_tried: false,
+            ran: None,
+            done: false,
+        };
+        self.open.insert(id, open);
+        self.go_on(now, id, act);
+    }
+
+    /// Makes the next attempt of a request with nothing under way, parks it, or ends it.
+    fn go_on(&mut self, now: Micros, id: RequestId, act: &mut Vec<Action>) {
+        let Some(o) = self.open.get(&id) else { return };
+        let may_resend = self.may_resend(now, o);
+        if o.attempts >= self.set.max_attempts || !may_resend || now + TICK >= o.deadline {
+            return self.finish(id, act);
+        }
+        match self.choose(now, o) {
+            Choice::Send(member, source) => self.send(now, id, member, source, false, act),
+            Choice::Wait => {
+                self.parked.insert(id);
+            }
+            Choice::Refuse => self.finish(id, act),
+        }
+    }
+
+    /// Rule: no effect twice. After an attempt that may have run, only safe classes go on freely.
+    fn may_resend(&self, now: Micros, o: &Open) -> bool {
+        match (o.ran, self.set.classes[o.req.class].repeat) {
+            (None, _) | (_, Repeat::Safe) => true,
+            (Some(_), Repeat::Unsafe) => false,
+            (Some((first, _)), Repeat::Keyed { window, .. }) => now + KEY_MARGIN < first + window,
+        }
+    }
+
+    /// Whether a resend to this member is discarded where the first attempt has run.
+    fn same_group(&self, o: &Open, member: &Member) -> bool {
+        let (Some((_, first)), Repeat::Keyed { group, .. }) = (o.ran, self.set.classes[o.req.class].repeat)
+        else {
+            return true;
+        };
+        let first = self.members.get(&first).map(|m| (m.entry.zone, m.entry.cell));
+        match group {
+            KeyGroup::All => true,
+            KeyGroup::Zone => first.is_some_and(|(zone, _)| zone == member.entry.zone),
+            KeyGroup::Cell => first.is_some_and(|(_, cell)| cell == member.entry.cell),
+        }
+    }
+
+    /// Final answer: refused where a retry is surely harmless, else failed.
+    fn finish(&mut self, id: RequestId, act: &mut Vec<Action>) {
+        let Some(o) = self.open.get_mut(&id) else { return };
+        if o.done {
+            return;
+        }
+        let harmless = match self.set.classes[o.req.class].repeat {
+            Repeat::Safe | Repeat::Keyed { group: KeyGroup::All, .. } => true,
+            _ => o.ran.is_none() && o.out.is_empty(),
+        };
+        let retry_after = self.set.retry_after.then_some(HOLD_OFF.min(self.set.max_retry_after));
+        act.push(if harmless {
+            Action::Refuse { request: id, retry_after }
+        } else {
+            Action::Fail { request: id }
+        });
+        self.close(id, act);
+    }
+
+    /// Nothing further goes out for it; what is still under way is cancelled and only counted.
+    fn close(&mut self, id: RequestId, act: &mut Vec<Action>) {
+        self.parked.remove(&id);
+        let Some(o) = self.open.get_mut(&id) else { return };
+        o.done = true;
+        for out in o.out.iter_mut().filter(|out| !out.cancelled && self.set.may_cancel) {
+            out.cancelled = true;
+            act.push(Action::Cancel { request: id, attempt: out.attempt });
+        }
+        if o.out.is_empty() {
+            self.open.remove(&id);
+        }
+    }
+
+    fn on_hangup(&mut self, id: RequestId, act: &mut Vec<Action>) {
+        self.close(id, act);
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        member: MemberId,
+        source: Option<MemberId>,
+        stale_try: bool,
+        act: &mut Vec<Action>,
+    ) {
+        self.parked.remove(&id);
+        let cost = |r: &Self, class: usize| r.mean[class];
+        let Some(o) = self.open.get(&id) else { return };
+        let (class, kb) = (o.req.class, o.req.kb.unwrap_or(1.0));
+        let purge_limit = self.purge_limit(now, &o.req);
+        let c = &self.set.classes[class];
+        let fetch = source.map(|source| {
+            let failing = self.source_failed(now, source);
+            let old = stale_try || failing;
+            let most = if old && c.fresh > 0 { c.fresh + c.grace } else { c.fresh };
+            // Age 0 would mean the class's fresh time, so a purge limit stays above it.
+            let age = match purge_limit {
+                Some(limit) if most == 0 => limit.max(1),
+                Some(limit) => limit.clamp(1, most),
+                None => most,
+            };
+            Fetch {
+                source,
+                keep: if c.uncacheable || stale_try { 0 } else { self.rank(&o.req) },
+                age,
+                // A fill begun before a purge would hand on the purged copy.
+                join: self.set.joins && purge_limit.is_none() && !c.uncacheable,
+                held_only: false,
+                renew: c.fresh > 0 && !stale_try,
+            }
+        });
+        let seconds = cost(self, class);
+        let timeout = o.deadline - now;
+        for (target, is_source) in [(Some(member), false), (source.filter(|s| *s != member), true)] {
+            let Some(m) = target.and_then(|t| self.members.get_mut(&t)) else { continue };
+            if is_source {
+                m.fills += 1;
+            } else {
+                m.out += 1;
+                m.out_kb += kb;
+            }
+            m.spent.push_back((now, id, seconds));
+            while m.spent.len() > 4096 {
+                m.spent.pop_front();
+            }
+        }
+        let o = self.open.get_mut(&id).expect("looked up above");
+        let out = Out { attempt: o.attempts, member, source, sent: now, cancelled: false, stale_try };
+        o.out.push(out);
+        o.attempts += 1;
+        o.stale_tried |= stale_try;
+        act.push(Action::Send { request: id, member, timeout, fetch });
+    }
+
+    // ---- outcome
+
+    fn on_outcome(&mut self, now: Micros, e: Outcome, act: &mut Vec<Action>) {
+        let Some(o) = self.open.get_mut(&e.request) else { return };
+        let Some(place) = o.out.iter().position(|out| out.attempt == e.attempt) else { return };
+        let out = o.out.swap_remove(place);
+        let proves_idle =
+            matches!(e.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss);
+        if !proves_idle && o.ran.is_none() {
+            o.ran = Some((out.sent, out.member));
+        }
+        let (done, class, kb, key) =
+            (o.done || e.closed, o.req.class, o.req.kb, (o.req.object, o.req.part));
+        let source = out.source.filter(|s| *s != out.member);
+        if let Some(m) = self.members.get_mut(&out.member) {
+            m.out = m.out.saturating_sub(1);
+            m.out_kb = (m.out_kb - kb.unwrap_or(1.0)).max(0.0);
+        }
+        if let Some(m) = source.and_then(|s| self.members.get_mut(&s)) {
+            m.fills = m.fills.saturating_sub(1);
+            if e.note == Note::Hit {
+                // A hit never reached the source: its cold budget has it back.
+                m.spent.retain(|s| s.1 != e.request);
+            }
+        }
+        if e.status == Status::Ok {
+            self.remember(key);
+            if kb.is_none() && matches!(e.note, Note::Hit | Note::Old | Note::Untold) {
+                self.mean[class] += MEAN_STEP * (e.elapsed as f64 / 1e6 - self.mean[class]);
+            }
+        }
+        let blame = self.judge(now, &e, &out, source);
+        if done {
+            return self.close(e.request, act);
+        }
+        let Some(o) = self.open.get_mut(&e.request) else { return };
+        if !o.out.is_empty() {
+            return;
+        }
+        match blame {
+            Blame::Nobody => {}
+            Blame::Cache => o.avoid.push(out.member),
+            Blame::Source => o.avoid.extend(source),
+        }
+        // The design: a failed fill is answered from what that cache holds, within the grace.
+        let c = &self.set.classes[o.req.class];
+        let stale = blame == Blame::Source && e.note != Note::SourceLacks && c.fresh > 0 && c.grace > 0;
+        if stale && !o.stale_tried && o.attempts < self.set.max_attempts && now + TICK < o.deadline {
+            let usable = self.members.get(&out.member).is_some_and(|m| self.may_send(now, m, class));
+            if usable {
+                return self.send(now, e.request, out.member, Some(out.member), true, act);
+            }
+        }
+        self.go_on(now, e.request, act);
+    }
+
+    /// Whose failure an outcome is, and what it does to that member's standing.
+    fn judge(&mut self, now: Micros, e: &Outcome, out: &Out, source: Option<MemberId>) -> Blame {
+        let quiet = self.members.get(&out.member).is_none_or(|m| m.heard < out.sent);
+        if !matches!(e.status, Status::Timeout | Status::Cancelled | Status::Moot | Status::ConnectFailed) {
+            if let Some(m) = self.members.get_mut(&out.member) {
+                m.heard = now;
+            }
+        }
+        match (e.status, e.note) {
+            (Status::Ok, note) => {
+                self.good(out.member, MARK_STEP);
+                match (note, source) {
+                    (Note::Filled | Note::FilledByOrigin, Some(s)) => self.good(s, MARK_STEP),
+                    // Untold, most answers are hits and say little of the source.
+                    (Note::Untold, Some(s)) => self.good(s, MARK_STEP / 4.0),
+                    _ => {}
+                }
+                Blame::Nobody
+            }
+            (Status::Miss, _) if out.stale_try => Blame::Nobody,
+            (_, Note::SourceLacks) | (Status::Miss, _) => Blame::Source,
+            (_, Note::SourceRefused | Note::SourceUnreachable | Note::OriginFailed) => {
+                let origin = self.origin().filter(|_| e.note == Note::OriginFailed);
+                if let Some(s) = origin.or(source) {
+                    self.bad(now, s, if e.note == Note::SourceUnreachable { MARK_HARD } else { 0.0 });
+                    self.source_down(now, s);
+                }
+                Blame::Source
+            }
+            (Status::Full, _) | (_, Note::NoFillPlace) => Blame::Cache,
+            (Status::ConnectFailed | Status::Reset, _) => {
+                self.bad(now, out.member, MARK_HARD);
+                Blame::Cache
+            }
+            (Status::Error, _) if self.set.notes == Notes::None && source.is_some() => {
+                if let Some(s) = source {
+                    self.bad(now, s, 0.0);
+                    self.source_down(now, s);
+                }
+                self.bad(now, out.member, 0.0);
+                Blame::Source
+            }
+            (Status::Error, _) => {
+                self.bad(now, out.member, 0.0);
+                Blame::Cache
+            }
+            (Status::Timeout, _) => {
+                let at = if quiet { Some(out.member) } else { source };
+                if let Some(at) = at {
+                    self.bad(now, at, 0.0);
+                }
+                if quiet {
+                    Blame::Cache
+                } else {
+                    Blame::Source
+                }
+            }
+            (Status::Cancelled, _) => Blame::Cache,
+            (Status::Moot, _) => Blame::Nobody,
+        }
+    }
+
+    fn source_down(&mut self, now: Micros, id: MemberId) {
+        if let Some(m) = self.members.get_mut(&id) {
+            m.failed_at = Some(now);
+        }
+    }
+
+    fn good(&mut self, id: MemberId, step: f64) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        m.mark *= 1.0 - step;
+        if m.mark < MARK_TRUST / 2.0 {
+            m.holds = 0;
+        }
+    }
+
+    /// Moves the failure mark, at least to `least`; over the line the member is held off, longer each time.
+    fn bad(&mut self, now: Micros, id: MemberId, least: f64) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        m.mark = (m.mark * (1.0 - MARK_STEP) + MARK_STEP).max(least);
+        if m.mark >= MARK_HOLD && now >= m.held_until {
+            m.held_until = now + (HOLD_FIRST << m.holds.min(8)).min(HOLD_LONGEST);
+            m.holds += 1;
+        }
+    }
+
+    // ---- timer
+
+    fn on_timer(&mut self, now: Micros, act: &mut Vec<Action>) {
+        self.ticking = false;
+        self.find_silent(now, act);
+        for id in std::mem::take(&mut self.parked) {
+            self.go_on(now, id, act);
+        }
+    }
+
+    /// A cache that takes work and answers nothing: several answers overdue, and no word since they were sent.
+    /// Its requests are cancelled and go elsewhere as their outcomes arrive.
+    fn find_silent(&mut self, now: Micros, act: &mut Vec<Action>) {
+        let mut overdue: BTreeMap<MemberId, usize> = BTreeMap::new();
+        for o in self.open.values() {
+            for out in o.out.iter().filter(|out| !out.cancelled) {
+                let due = out.sent + DUE + (DUE_STRETCH * 1e6 * self.seconds(&o.req)) as Micros;
+                let quiet = self.members.get(&out.member).is_some_and(|m| m.heard < out.sent);
+                if quiet && now > due {
+                    *overdue.entry(out.member).or_default() += 1;
+                }
+            }
+        }
+        for (id, count) in overdue {
+            let on_trial = self.members.get(&id).is_some_and(|m| m.mark >= MARK_TRUST);
+            if count >= SILENT_COUNT || on_trial {
+                self.bad(now, id, MARK_HARD);
+                if self.set.may_cancel {
+                    self.cancel_all(id, act);
+                }
+            }
+        }
+    }
+
+    fn cancel_all(&mut self, member: MemberId, act: &mut Vec<Action>) {
+        for (id, o) in self.open.iter_mut() {
+            if self.set.classes[o.req.class].repeat == Repeat::Unsafe {
+                continue;
+            }
+            for out in o.out.iter_mut().filter(|out| out.member == member && !out.cancelled) {
+                out.cancelled = true;
+                act.push(Action::Cancel { request: *id, attempt: out.attempt });
+            }
+        }
+    }
+
+    // ---- purge
+
+    fn on_purge(&mut self, now: Micros, object: Option<ObjectId>, group: u64, age: Micros) {
+        let at = now.saturating_sub(age);
+        let kept = self.set.purge_done + PURGE_MARGIN;
+        if self.object_purges.len() + self.group_purges.len() > 1024 {
+            self.object_purges.retain(|_, t| *t + kept > now);
+            self.group_purges.retain(|_, t| *t + kept > now);
+        }
+        let newest = match object {
+            Some(object) => self.object_purges.entry(object).or_default(),
+            None => self.group_purges.entry(group).or_default(),
+        };
+        *newest = at.max(*newest);
+    }
+
+    /// The oldest copy that a purge allows, while copies from before it may be about.
+    fn purge_limit(&self, now: Micros, req: &Request) -> Option<Micros> {
+        let at = self.object_purges.get(&req.object).max(self.group_purges.get(&req.group))?;
+        (now < at + self.set.purge_done + PURGE_MARGIN).then_some(now.saturating_sub(*at))
+    }
+
+    // ---- choosing
+
+    fn origin(&self) -> Option<MemberId> {
+        self.members.values().find(|m| self.is_origin(m)).map(|m| m.entry.id)
+    }
+
+    fn is_origin(&self, m: &Member) -> bool {
+        Some(m.entry.kind) == self.set.origin_kind
+    }
+
+    fn is_parent(&self, m: &Member) -> bool {
+        Some(m.entry.kind) == self.set.parent_kind
+    }
+
+    fn is_cache(&self, m: &Member) -> bool {
+        !self.is_origin(m) && !self.is_parent(m)
+    }
+
+    /// Sending time of a request: by its size where told, else its class's mean.
+    fn seconds(&self, req: &Request) -> f64 {
+        match req.kb {
+            Some(kb) if self.set.stream_kb_per_s > 0.0 => kb / self.set.stream_kb_per_s,
+            _ => self.mean[req.class],
+        }
+    }
+
+    fn weight(&self, m: &Member) -> f64 {
+        match self.set.weights {
+            // Live weights change with the load and would move every object's home.
+            Weights::None | Weights::Live => 1.0,
+            Weights::Nominal | Weights::Rough => m.entry.weight,
+        }
+    }
+
+    /// The rank a copy is kept at: first asked for, low; asked for again, above what was asked for once.
+    fn rank(&self, req: &Request) -> u8 {
+        let key = (req.object, req.part);
+        1 + self.seen.iter().any(|s| s.contains(&key)) as u8
+    }
+
+    fn remember(&mut self, key: (ObjectId, u64)) {
+        if self.seen[0].len() >= SEEN_MOST {
+            self.seen.swap(0, 1);
+            self.seen[0].clear();
+        }
+        self.seen[0].insert(key);
+    }
+
+    fn source_failed(&self, now: Micros, id: MemberId) -> bool {
+        let failed_at = self.members.get(&id).and_then(|m| m.failed_at);
+        failed_at.is_some_and(|at| now < at + STALE_WINDOW)
+    }
+
+    /// Rules: drains and cold members. Listed as ready, and its cold budget has room for one more.
+    fn may_send(&self, now: Micros, m: &Member, class: usize) -> bool {
+        m.entry.state == MemberState::Ready && self.cold_room(now, m, class)
+    }
+
+    /// A cold member takes only so much in any window: the multiple of what it can do at the window's start,
+    /// this router's part of it. A router that has just started knows nothing of its last window.
+    fn cold_room(&self, now: Micros, m: &Member, class: usize) -> bool {
+        let (rule, sharing) = match (self.is_parent(m), self.is_origin(m)) {
+            (_, true) => return true,
+            (true, _) => (&self.set.cold_parent, self.set.routers),
+            _ => (&self.set.cold_cache, self.set.zones.get(self.set.zone).map_or(1, |z| z.routers)),
+        };
+        if m.entry.started == 0 || now >= m.entry.started + rule.warm_within + rule.window {
+            return true;
+        }
+        if now < self.born.unwrap_or(now) + rule.window {
+            return false;
+        }
+        let from = now.saturating_sub(rule.window);
+        let warm = from.saturating_sub(m.entry.started) as f64 / rule.warm_within.max(1) as f64;
+        let share = rule.start_share + (1.0 - rule.start_share) * warm.min(1.0);
+        let budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
+        let spent: f64 = m.spent.iter().rev().take_while(|s| s.0 > from).map(|s| s.2).sum();
+        spent + self.mean[class] <= budget / sharing.max(1) as f64
+    }
+
+    /// Not held off for failures; just after a hold one request at a time tries it.
+    fn healthy(&self, now: Micros, m: &Member) -> bool {
+        now >= m.held_until && (m.mark < MARK_TRUST || m.holds == 0 || m.out + m.fills == 0)
+    }
+
+    fn choose(&self, now: Micros, o: &Open) -> Choice {
+        let c = &self.set.classes[o.req.class];
+        if c.uncacheable {
+            return self.choose_uncacheable(now, o);
+        }
+        let caches = |m: &&Member| self.is_cache(m) && m.entry.zone == self.set.zone;
+        let ready: Vec<&Member> = self
+            .members
+            .values()
+            .filter(caches)
+            .filter(|m| self.may_send(now, m, o.req.class) && self.same_group(o, m))
+            .collect();
+        let fit = |m: &&&Member| self.healthy(now, m) && !o.avoid.contains(&m.entry.id);
+        let mut order: Vec<&Member> = ready.iter().filter(fit).copied().collect();
+        if order.is_empty() {
+            // Everybody is held off or has failed this request: those this request has not tried come first.
+            order = ready.iter().filter(|m| !o.avoid.contains(&m.entry.id)).copied().collect();
+        }
+        if order.is_empty() {
+            return Choice::Wait;
+        }
+        let Some(cache) = self.pick(o.req.object.0, &order, |m| (m.out, m.out_kb)) else {
+            return Choice::Wait;
+        };
+        let pressure = order.iter().map(|m| m.out as f64 / m.entry.weight).fold(f64::INFINITY, f64::min);
+        if pressure > REFUSE_ABOVE && o.attempts == 0 {
+            return Choice::Refuse;
+        }
+        let source = self.choose_source(now, o).unwrap_or(cache);
+        Choice::Send(cache, Some(source))
+    }
+
+    /// The object's parent: hash order over all that are listed, then the origin.
+    fn choose_source(&self, now: Micros, o: &Open) -> Option<MemberId> {
+        let usable = |m: &&Member| self.may_send(now, m, o.req.class) && !o.avoid.contains(&m.entry.id);
+        let parents: Vec<&Member> =
+            self.members.values().filter(|m| self.is_parent(m)).filter(usable).collect();
+        let fit: Vec<&Member> = parents.iter().filter(|m| self.healthy(now, m)).copied().collect();
+        let origin = self.members.values().filter(|m| self.is_origin(m)).find(usable);
+        let parent = self.pick(o.req.object.0, &fit, |m| (m.fills, m.fills as f64));
+        parent
+            .or(origin.map(|m| m.entry.id))
+            .or_else(|| self.pick(o.req.object.0, &parents, |m| (m.fills, m.fills as f64)))
+    }
+
+    /// Rendezvous order of the object, skipping members over the bound; all over it: the least loaded.
+    fn pick(
+        &self,
+        object: u64,
+        from: &[&Member],
+        load: impl Fn(&Member) -> (u32, f64),
+    ) -> Option<MemberId> {
+        let total: f64 = from.iter().map(|m| self.weight(m)).sum();
+        let under_way: f64 = from.iter().map(|m| load(m).1).sum();
+        let within = |m: &&&Member| {
+            let (count, size) = load(m);
+            let w = self.weight(m);
+            (count as f64) < BOUND_FLOOR * w || size <= BOUND * under_way * w / total
+        };
+        let home = |a: &&&Member, b: &&&Member| {
+            score(object, a.entry.id, self.weight(a)).total_cmp(&score(object, b.entry.id, self.weight(b)))
+        };
+        let least = |a: &&&Member, b: &&&Member| {
+            (load(a).1 / self.weight(a)).total_cmp(&(load(b).1 / self.weight(b)))
+        };
+        from.iter().filter(within).max_by(home).or_else(|| from.iter().min_by(least)).map(|m| m.entry.id)
+    }
+
+    /// Runs at the origin: straight there where allowed, else through a cache that names it as the source.
+    fn choose_uncacheable(&self, now: Micros, o: &Open) -> Choice {
+        let usable = |m: &&Member| {
+            self.may_send(now, m, o.req.class) && self.same_group(o, m) && !o.avoid.contains(&m.entry.id)
+        };
+        let origin = self.members.values().filter(|m| self.is_origin(m)).find(usable);
+        let parents: Vec<&Member> = self
+            .members
+            .values()
+            .filter(|m| self.is_parent(m))
+            .filter(usable)
+            .filter(|m| self.healthy(now, m))
+            .collect();
+        let caches: Vec<&Member> = self
+            .members
+            .values()
+            .filter(|m| self.is_cache(m))
+            .filter(usable)
+            .filter(|m| m.entry.zone == self.set.zone && self.healthy(now, m))
+            .collect();
+        let parent = self.pick(o.req.object.0, &parents, |m| (m.fills, m.fills as f64));
+        match (origin, parent) {
+            (Some(origin), _) if self.set.straight => Choice::Send(origin.entry.id, None),
+            (_, Some(parent)) if self.set.straight => Choice::Send(parent, Some(parent)),
+            (origin, parent) => {
+                let source = origin.map(|m| m.entry.id).or(parent);
+                let cache = self.pick(o.req.object.0, &caches, |m| (m.out, m.out_kb));
+                match (cache, source) {
+                    (Some(cache), Some(source)) => Choice::Send(cache, Some(source)),
+                    _ => Choice::Wait,
+                }
+            }
+        }
+    }
+}
+
+enum Choice {
+    Send(MemberId, Option<MemberId>),
+    /// Nobody to send to now.
+    Wait,
+    Refuse,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Blame {
+    Nobody,
+    Cache,
+    Source,
+}
--- /dev/null
+++ b/wirehost/src/main.rs
@@ -0,0 +1,107 @@
+//! Hosts one [`Router`] for each instance on the wire: translates, decides nothing.
+mod translate;
+mod wire;
+
+use pointspindle::{Action, Event, MemberId, Micros, Router};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufWriter, Write};
+use std::process::ExitCode;
+
+struct Instance {
+    router: Router,
+    names: BTreeMap<MemberId, String>,
+}
+
+struct Host<W: Write> {
+    instances: BTreeMap<u64, Instance>,
+    now: Micros,
+    round: u64,
+    actions: Vec<Action>,
+    out: W,
+}
+
+impl<W: Write> Host<W> {
+    fn tell(&mut self, dispatcher: u64, event: Event) -> Result<(), String> {
+        let unknown = || format!("message for unknown Dispatcher {dispatcher}");
+        let instance = self.instances.get_mut(&dispatcher).ok_or_else(unknown)?;
+        self.actions.clear();
+        instance.router.handle(self.now, event, &mut self.actions);
+        for action in &self.actions {
+            if let Some(message) = translate::action(dispatcher, action, &instance.names) {
+                write_line(&mut self.out, &message)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn line(&mut self, text: &str) -> Result<(), String> {
+        match serde_json::from_str(text).map_err(|e| e.to_string())? {
+            wire::Inbound::Round(r) => (self.now, self.round) = (translate::micros(r.t_ms), r.round),
+            wire::Inbound::OverToYou(_) => {
+                write_line(&mut self.out, &wire::Outbound::Eor(wire::Eor { round: self.round }))?;
+                self.out.flush().map_err(|e| e.to_string())?;
+            }
+            wire::Inbound::Provision(p) => {
+                let router = Router::new(translate::settings(&p.config)?, p.nonce64.unwrap_or_default());
+                self.instances.insert(p.dispatcher, Instance { router, names: BTreeMap::new() });
+            }
+            wire::Inbound::Kill(k) => {
+                self.instances.remove(&k.dispatcher);
+            }
+            wire::Inbound::Sync(s) => {
+                let dispatcher = s.dispatcher;
+                let unknown = || format!("message for unknown Dispatcher {dispatcher}");
+                let instance = self.instances.get_mut(&dispatcher).ok_or_else(unknown)?;
+                let event = translate::members(s, &mut instance.names)?;
+                self.tell(dispatcher, event)?;
+            }
+            wire::Inbound::Incoming(r) => self.tell(r.dispatcher, translate::request(r))?,
+            wire::Inbound::Ended(o) => self.tell(o.dispatcher, translate::outcome(o)?)?,
+            wire::Inbound::Hangup(h) => {
+                self.tell(h.dispatcher, Event::Hangup(pointspindle::RequestId(h.req)))?;
+            }
+            wire::Inbound::Reminder(r) => self.tell(r.dispatcher, Event::Timer(r.cookie))?,
+            wire::Inbound::Voided(v) => self.tell(v.dispatcher, translate::purge(v))?,
+            wire::Inbound::Echo(e) => self.tell(e.dispatcher, translate::probed(e))?,
+            // Peer messages and the start of streams carry nothing that a router uses.
+            wire::Inbound::NeighbourSays(i) | wire::Inbound::Begun(i) => {
+                if !self.instances.contains_key(&i.dispatcher) {
+                    return Err(format!("message for unknown Dispatcher {}", i.dispatcher));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn write_line<W: Write>(out: &mut W, message: &wire::Outbound) -> Result<(), String> {
+    serde_json::to_writer(&mut *out, message).map_err(|e| e.to_string())?;
+    out.write_all(b"\n").map_err(|e| e.to_string())
+}
+
+fn run() -> Result<(), String> {
+    let mut input = io::BufReader::with_capacity(1 << 16, io::stdin().lock());
+    let out = BufWriter::with_capacity(1 << 16, io::stdout().lock());
+    let mut host = Host { instances: BTreeMap::new(), now: 0, round: 0, actions: Vec::new(), out };
+    let mut text = String::new();
+    for number in 1_u64.. {
+        text.clear();
+        match input.read_line(&mut text) {
+            Ok(0) => break,
+            Ok(_) if text.trim().is_empty() => {}
+            Ok(_) => host.line(&text).map_err(|e| format!("line {number}: {e}"))?,
+            Err(e) => return Err(format!("line {number}: {e}")),
+        }
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("pointspindle-wirehost: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/wirehost/src/wire.rs
@@ -0,0 +1,128 @@
+//! The words of the wire, as they stand there. Absent and null values are both `None`.
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum Inbound {
+    Round(Round),
+    OverToYou(Nothing),
+    Provision(Box<Provision>),
+    Sync(Sync),
+    Incoming(Incoming),
+    Reminder(Reminder),
+    Kill(Instance),
+    NeighbourSays(Instance),
+    Voided(Voided),
+    Echo(Echo),
+    Hangup(Hangup),
+    Begun(Instance),
+    Ended(Ended),
+}
+
+/// Fields of inbound messages: those after `need` must be there, those after `may` may be absent or null.
+macro_rules! inbound {
+    ($($name:ident { need { $($n:ident: $nt:ty),* } may { $($m:ident: $mt:ty),* } })*) => {
+        $(#[derive(Debug, Deserialize)]
+        #[serde(rename_all = "PascalCase")]
+        pub struct $name { $(pub $n: $nt,)* $(#[serde(default)] pub $m: Option<$mt>,)* })*
+    };
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Round {
+    #[serde(rename = "TMs")]
+    pub t_ms: f64,
+    pub round: u64,
+}
+
+inbound! {
+    Nothing { need {} may {} }
+    Instance { need { dispatcher: u64 } may {} }
+    Provision { need { dispatcher: u64, config: Config } may { nonce64: u64 } }
+    Sync { need { dispatcher: u64, form: String } may { members: Vec<Entry> } }
+    Entry {
+        need { host: String }
+        may { pod: u64, availability: String, scale: f64, hall: usize, sku: usize, came_up_ms: f64 }
+    }
+    Incoming {
+        need { dispatcher: u64, req: u64 }
+        may { cls: usize, content_id: String, expires_in_ms: f64, kbytes: f64, set_no: f64, slice: f64,
+              repeat: bool }
+    }
+    Reminder { need { dispatcher: u64, cookie: u64 } may {} }
+    Voided { need { dispatcher: u64 } may { group: u64, how_old_ms: f64, content_id: String } }
+    Echo { need { dispatcher: u64, host: String } may { state_code: String, elapsed_ms: f64 } }
+    Hangup { need { dispatcher: u64, req: u64 } may {} }
+    Ended {
+        need { dispatcher: u64, req: u64, state_code: String, host: String }
+        may { round_no: u32, elapsed_ms: f64, upstream_wait_ms: f64, remark: u8, over: bool }
+    }
+    Config {
+        need { rules: Rules, family_info: FamilyInfo }
+        may { allowed: Allowed, balancers: u32, classes: Vec<Class>, weight_source: String, zone: usize,
+              zones: Vec<String> }
+    }
+    Rules {
+        need {}
+        may { answer_slack_ms: f64, start_capacity: f64, warm_within_ms: f64, overload_factor: f64, fall_ms: f64 }
+    }
+    Allowed {
+        need {}
+        may { max_attempts: u32, may_cancel: bool, second_copies: bool, probes: bool, retry_after: bool,
+              max_retry_after_ms: f64 }
+    }
+    Class {
+        need {}
+        may { aim_ms: f64, aim_stretch: f64, deadline_ms: f64, worth: f64, late_worth: f64, repeat: String,
+              group: String, key_ttl_ms: f64 }
+    }
+    FamilyInfo {
+        need {}
+        may { second_tier_kind: i64, master_kind: i64, instances_by_zone: Vec<u32>, zone_hub: Vec<usize>,
+              max_age_ms: Vec<f64>, usable_after_ms: Vec<f64>, worth_when_old: Vec<f64>, in_pieces: Vec<bool>,
+              never_kept: Vec<bool>, straight: bool, stream_kb_per_s: f64, merges_fills: bool,
+              neighbours: String, tells: String, parent_starts_at: f64, upper_cold_ms: f64,
+              parent_fall_multiple: f64, gone_everywhere_ms: f64 }
+    }
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum Outbound<'a> {
+    Dispatch(Send<'a>),
+    AnswerFrom(Send<'a>),
+    Bounce(Final),
+    DropRequest(Final),
+    DropAttempt(DropAttempt),
+    Schedule(Schedule),
+    Inspect(Inspect<'a>),
+    Eor(Eor),
+}
+
+/// Fields of outbound messages: `None` is left out.
+macro_rules! outbound {
+    ($($name:ident $(<$life:lifetime>)? { has { $($h:ident: $ht:ty),* } may { $($m:ident: $mt:ty),* } })*) => {
+        $(#[derive(Debug, Serialize)]
+        #[serde(rename_all = "PascalCase")]
+        pub struct $name $(<$life>)? {
+            $(pub $h: $ht,)*
+            $(#[serde(skip_serializing_if = "Option::is_none")] pub $m: Option<$mt>,)*
+        })*
+    };
+}
+
+outbound! {
+    Send<'a> {
+        has { dispatcher: u64, req: u64, host: &'a str }
+        may { timeout_ms: f64, fill_from: &'a str, store_as: u8, switches: u8, how_old_ms: f64 }
+    }
+    Final { has { dispatcher: u64, req: u64 } may { come_back_ms: f64 } }
+    DropAttempt { has { dispatcher: u64, req: u64, round_no: u32 } may {} }
+    Schedule { has { dispatcher: u64, after_ms: f64, cookie: u64 } may {} }
+    Inspect<'a> { has { dispatcher: u64, host: &'a str } may {} }
+}
+
+#[derive(Debug, Serialize)]
+pub struct Eor {
+    pub round: u64,
+}
