--- /dev/null
+++ b/tests/design.rs
@@ -0,0 +1,133 @@
+//! The ordinary path, and the stale answer when a fill fails.
+mod common;
+use common::*;
+use pointspindle::*;
+
+#[test]
+fn fills_are_kept_and_accepted_up_to_the_fresh_time() {
+    let mut s = Stage::new();
+    let page = s.ask(PAGE, "a").remove(0);
+    assert_eq!((page.fetch().age, page.fetch().renew, page.fetch().join), (12 * S, true, true));
+    assert!(page.fetch().keep >= 1);
+    assert_eq!(s.ask(VIDEO, "a")[0].fetch().age, 0);
+}
+
+#[test]
+fn an_object_meets_at_one_parent_from_every_location() {
+    let mut other = settings();
+    other.zone = 0;
+    other.zones[0].routers = 1;
+    let members = fleet().into_iter().map(|mut m| {
+        m.zone = 0;
+        m
+    });
+    let (mut a, mut b) = (Stage::new(), Stage::with(other, members.collect()));
+    for i in 0..40 {
+        let name = format!("o{i}");
+        let (x, y) = (a.ask(VIDEO, &name).remove(0), b.ask(VIDEO, &name).remove(0));
+        assert_eq!(x.source(), y.source());
+        a.end(&x, Status::Ok, Note::Hit);
+        b.end(&y, Status::Ok, Note::Hit);
+    }
+}
+
+#[test]
+fn a_failed_fill_is_answered_from_the_held_copy() {
+    let mut s = Stage::new();
+    let sent = s.ask(PAGE, "a").remove(0);
+    let stale = s.end(&sent, Status::Error, Note::SourceUnreachable).remove(0);
+    assert_eq!(stale.member, sent.member);
+    assert_eq!(stale.source(), sent.member, "from what it holds only");
+    assert_eq!(stale.fetch().age, 32 * S);
+    assert_eq!(stale.fetch().keep, 0);
+}
+
+#[test]
+fn a_miss_on_the_stale_try_goes_on_to_another_source() {
+    let mut s = Stage::new();
+    let sent = s.ask(PAGE, "a").remove(0);
+    let stale = s.end(&sent, Status::Error, Note::SourceUnreachable).remove(0);
+    let next = s.end(&stale, Status::Miss, Note::Untold).remove(0);
+    assert_ne!(next.source(), sent.source());
+    assert_ne!(next.source(), next.member);
+}
+
+#[test]
+fn a_class_without_grace_gets_no_stale_try() {
+    let mut s = Stage::new();
+    let sent = s.ask(VIDEO, "a").remove(0);
+    let next = s.end(&sent, Status::Error, Note::SourceUnreachable).remove(0);
+    assert_ne!(next.source(), next.member);
+}
+
+#[test]
+fn for_ten_seconds_requests_bound_to_a_failed_source_accept_old_copies() {
+    let mut members = fleet();
+    members.retain(|m| m.kind != 1 && m.id != MemberId::named("c3"));
+    let mut s = Stage::with(settings(), members);
+    let sent = s.ask(PAGE, "a").remove(0);
+    s.end(&sent, Status::Error, Note::SourceRefused);
+    s.now += 9_900 * MS;
+    assert_eq!(s.ask(PAGE, "b")[0].fetch().age, 32 * S);
+    s.now += 200 * MS;
+    assert_eq!(s.ask(PAGE, "c")[0].fetch().age, 12 * S);
+}
+
+#[test]
+fn the_missing_object_is_not_the_sources_failure() {
+    let mut s = Stage::new();
+    let sent = s.ask(PAGE, "a").remove(0);
+    let next = s.end(&sent, Status::Miss, Note::SourceLacks).remove(0);
+    assert_ne!(next.source(), next.member, "no stale try");
+    assert_eq!(s.ask(PAGE, "a")[0].fetch().age, 12 * S);
+}
+
+#[test]
+fn where_nothing_is_told_an_error_counts_against_the_named_source() {
+    let mut untold = settings();
+    untold.notes = Notes::None;
+    let mut s = Stage::with(untold, fleet());
+    let sent = s.ask(PAGE, "a").remove(0);
+    let stale = s.end(&sent, Status::Error, Note::Untold).remove(0);
+    assert_eq!((stale.member, stale.source()), (sent.member, sent.member));
+}
+
+#[test]
+fn an_uncacheable_class_goes_straight_to_the_origin_where_allowed() {
+    let mut s = Stage::new();
+    let sent = s.ask(KEYED, "a").remove(0);
+    assert_eq!((sent.member, sent.fetch), (MemberId::named("origin"), None));
+    let mut through = settings();
+    through.straight = false;
+    let mut s = Stage::with(through, fleet());
+    let sent = s.ask(KEYED, "a").remove(0);
+    assert_eq!((sent.source(), sent.fetch().keep), (MemberId::named("origin"), 0));
+}
+
+#[test]
+fn a_silent_cache_is_left_and_its_requests_go_elsewhere() {
+    let mut s = Stage::new();
+    let first = s.ask(VIDEO, "a").remove(0);
+    let second = s.ask(VIDEO, "a").remove(0);
+    assert_eq!(first.member, second.member);
+    for _ in 0..30 {
+        s.wait(25 * MS);
+        if s.last.iter().any(|a| matches!(a, Action::Cancel { .. })) {
+            break;
+        }
+    }
+    assert!(s.now < T0 + 600 * MS, "found within the aim");
+    let next = s.end(&first, Status::Cancelled, Note::Untold).remove(0);
+    assert_ne!(next.member, first.member);
+    assert_ne!(s.ask(VIDEO, "a")[0].member, first.member);
+}
+
+#[test]
+fn a_member_held_off_is_tried_again() {
+    let mut s = Stage::new();
+    let sent = s.ask(VIDEO, "a").remove(0);
+    s.end(&sent, Status::ConnectFailed, Note::Untold);
+    assert_ne!(s.ask(VIDEO, "a")[0].member, sent.member);
+    s.now += 4 * S;
+    assert_eq!(s.ask(VIDEO, "a")[0].member, sent.member);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,224 @@
+//! The five rules, one small test each and more where a rule has several sides.
+mod common;
+use common::*;
+use pointspindle::*;
+
+#[test]
+fn a_timeout_at_the_deadline_still_gets_a_final_answer() {
+    let mut s = Stage::new();
+    let sent = s.ask(VIDEO, "a").remove(0);
+    s.now += sent.timeout;
+    assert!(s.end(&sent, Status::Timeout, Note::Untold).is_empty());
+    assert_eq!(s.finals().len(), 1);
+}
+
+#[test]
+fn with_nobody_to_send_to_a_request_is_refused_in_time() {
+    let mut s = Stage::with(settings(), vec![]);
+    assert!(s.ask(VIDEO, "a").is_empty());
+    let mut answered = None;
+    for _ in 0..200 {
+        s.wait(20 * MS);
+        if matches!(s.finals()[..], [Action::Refuse { .. }]) {
+            answered = Some(s.now);
+        }
+    }
+    assert!(answered.is_some_and(|at| at <= T0 + 3 * S));
+}
+
+#[test]
+fn after_a_hang_up_nothing_goes_out() {
+    let mut s = Stage::new();
+    let sent = s.ask(VIDEO, "a").remove(0);
+    s.tell(Event::Hangup(sent.request));
+    assert!(s.end(&sent, Status::Cancelled, Note::Untold).is_empty());
+    assert!(s.wait(50 * MS).is_empty());
+    assert!(s.finals().is_empty());
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_failed_not_resent() {
+    let mut s = Stage::new();
+    let sent = s.ask(UNSAFE, "a").remove(0);
+    assert!(s.end(&sent, Status::Reset, Note::Untold).is_empty());
+    assert!(matches!(s.finals()[..], [Action::Fail { .. }]));
+}
+
+#[test]
+fn an_unsafe_request_that_did_not_run_is_sent_again() {
+    let mut s = Stage::new();
+    let sent = s.ask(UNSAFE, "a").remove(0);
+    assert_eq!(s.end(&sent, Status::ConnectFailed, Note::Untold).len(), 1);
+}
+
+#[test]
+fn a_keyed_request_is_resent_only_within_its_window() {
+    for (after, resent) in [(500 * MS, 1), (1_990 * MS, 0)] {
+        let mut s = Stage::new();
+        let sent = s.ask(KEYED, "a").remove(0);
+        s.now += after;
+        assert_eq!(s.end(&sent, Status::Reset, Note::Untold).len(), resent, "{after}");
+    }
+}
+
+#[test]
+fn the_keyed_window_counts_from_the_first_send_that_may_have_run() {
+    let mut s = Stage::new();
+    let first = s.ask(KEYED, "a").remove(0);
+    s.now += 1_000 * MS;
+    let second = s.end(&first, Status::Reset, Note::Untold).remove(0);
+    s.now += 950 * MS;
+    assert!(s.end(&second, Status::Reset, Note::Untold).is_empty());
+}
+
+#[test]
+fn two_attempts_are_never_out_together() {
+    let mut s = Stage::new();
+    let sent = s.ask(VIDEO, "a").remove(0);
+    for _ in 0..40 {
+        assert!(s.wait(25 * MS).is_empty());
+    }
+    assert_eq!(s.end(&sent, Status::Cancelled, Note::Untold).len(), 1);
+}
+
+#[test]
+fn attempts_stay_under_the_most_allowed() {
+    let mut s = Stage::new();
+    let mut sent = s.ask(VIDEO, "a");
+    let mut count = 0;
+    while let Some(one) = sent.pop() {
+        count += 1;
+        sent = s.end(&one, Status::Full, Note::Untold);
+        for _ in 0..20 {
+            if sent.is_empty() {
+                sent = s.wait(25 * MS);
+            }
+        }
+    }
+    assert!((2..=6).contains(&count), "{count}");
+}
+
+#[test]
+fn a_draining_cache_gets_nothing_new() {
+    let mut s = Stage::new();
+    let home = s.ask(VIDEO, "a").remove(0).member;
+    let mut gone = fleet().into_iter().find(|e| e.id == home).unwrap();
+    gone.state = MemberState::Draining;
+    s.update(vec![gone]);
+    for i in 0..50 {
+        assert!(s.ask(VIDEO, &format!("o{i}")).iter().all(|sent| sent.member != home));
+    }
+}
+
+#[test]
+fn a_draining_parent_is_named_as_no_source() {
+    let mut s = Stage::new();
+    let parent = s.ask(VIDEO, "a").remove(0).source();
+    let mut gone = fleet().into_iter().find(|e| e.id == parent).unwrap();
+    gone.state = MemberState::Gone;
+    s.update(vec![gone]);
+    for i in 0..50 {
+        assert!(s.ask(VIDEO, &format!("o{i}")).iter().all(|sent| sent.source() != parent));
+    }
+}
+
+#[test]
+fn who_is_missing_from_a_full_list_has_left() {
+    let mut s = Stage::new();
+    let home = s.ask(VIDEO, "a").remove(0).member;
+    let rest = fleet().into_iter().filter(|e| e.id != home).collect();
+    s.tell(Event::Members { update: ListUpdate::Full, entries: rest });
+    assert_ne!(s.ask(VIDEO, "a")[0].member, home);
+}
+
+/// Work sent to one member within two seconds, in seconds of sending.
+fn pushed(s: &mut Stage, count: usize, to: MemberId, as_source: bool) -> f64 {
+    let mut n = 0;
+    for i in 0..count {
+        for sent in s.ask(VIDEO, &format!("push{i}")) {
+            n += (if as_source { sent.source() } else { sent.member } == to) as usize;
+            s.end(&sent, Status::Ok, if as_source { Note::Filled } else { Note::Hit });
+        }
+        s.now += 2 * S / count as Micros;
+    }
+    n as f64 * 0.05
+}
+
+#[test]
+fn a_cold_cache_is_not_pushed_over() {
+    let mut s = Stage::new();
+    let mut cold = entry("c1", 0);
+    s.now += 10 * S;
+    cold.started = s.now;
+    s.update(vec![cold.clone()]);
+    let work = pushed(&mut s, 2000, cold.id, false);
+    assert!(work > 0.0, "it gets some");
+    assert!(work <= 2.0 * 0.36 * 6.0 * 2.0, "{work}");
+}
+
+#[test]
+fn a_cold_parent_is_not_pushed_over_by_fills() {
+    let mut s = Stage::new();
+    let mut cold = entry("p1", 1);
+    s.now += 10 * S;
+    cold.started = s.now;
+    s.update(vec![cold.clone()]);
+    let work = pushed(&mut s, 2000, cold.id, true);
+    assert!(work > 0.0, "it gets some");
+    assert!(work <= 2.0 * 0.19 * 6.0 * 2.0 / 2.0, "{work}");
+}
+
+#[test]
+fn a_router_just_started_leaves_cold_members_alone_for_a_window() {
+    let mut members = fleet();
+    for m in members.iter_mut().filter(|m| m.kind == 0) {
+        m.started = T0 - S;
+    }
+    let mut s = Stage::with(settings(), members);
+    assert!(s.ask(VIDEO, "a").is_empty());
+    let mut sent = vec![];
+    while s.now < T0 + 3 * S {
+        sent.extend(s.wait(25 * MS));
+    }
+    assert!(sent.len() == 1 && s.now >= T0 + 2 * S);
+}
+
+#[test]
+fn a_purge_limits_the_age_asked_for() {
+    let mut s = Stage::new();
+    s.tell(Event::Purge { object: Some(ObjectId::named("a")), group: 5, age: 100 * MS });
+    for class in [VIDEO, PAGE] {
+        let sent = s.ask(class, "a").remove(0);
+        assert_eq!(sent.fetch().age, 100 * MS);
+        assert!(!sent.fetch().join, "a fill begun before the purge hands on the old copy");
+        let other = s.ask(class, "b").remove(0);
+        assert_ne!(other.fetch().age, 100 * MS);
+    }
+}
+
+#[test]
+fn a_purge_just_now_never_asks_for_age_zero() {
+    let mut s = Stage::new();
+    s.tell(Event::Purge { object: None, group: 5, age: 0 });
+    assert_eq!(s.ask(VIDEO, "a")[0].fetch().age, 1);
+    assert_eq!(s.ask(PAGE, "b")[0].fetch().age, 1);
+}
+
+#[test]
+fn a_purge_is_forgotten_once_no_older_copy_is_left() {
+    let mut s = Stage::new();
+    s.tell(Event::Purge { object: None, group: 5, age: 0 });
+    s.now += 5_900 * MS;
+    assert_eq!(s.ask(VIDEO, "a")[0].fetch().age, 5_900 * MS);
+    s.now += 2 * S;
+    assert_eq!(s.ask(VIDEO, "a")[0].fetch().age, 0);
+}
+
+#[test]
+fn the_stale_try_is_never_older_than_a_purge() {
+    let mut s = Stage::new();
+    s.tell(Event::Purge { object: Some(ObjectId::named("a")), group: 5, age: 700 * MS });
+    let sent = s.ask(PAGE, "a").remove(0);
+    let stale = s.end(&sent, Status::Error, Note::SourceUnreachable).remove(0);
+    assert_eq!((stale.fetch().age, stale.source()), (700 * MS, stale.member));
+}
