Adaptive limit per cache by late answers; two refusals for want of room end a request

Conclusion: right where sizes or notes are told; where neither is, the mean sending time learned from slow answers hides lateness.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,9 +14,20 @@
 const BOUND: f64 = 1.25;
 /// ... but below this many requests for each unit of weight nothing is skipped: links are not full yet.
 const BOUND_FLOOR: f64 = 0.6;
-/// With this many requests under way for each unit of weight at every cache, new ones are refused: each
-/// answer takes so many times its sending time, and the aims are gone.
-const REFUSE_ABOVE: f64 = 3.0;
+/// A cache takes so many requests at once for each unit of weight at first, and never fewer or more than these.
+const LIMIT_FIRST: f64 = 2.0;
+const LIMIT_LEAST: f64 = 0.5;
+const LIMIT_MOST: f64 = 4.0;
+/// An answer in time from a busy cache raises its limit by this share, a late or missing one lowers it: in
+/// balance about one answer in six is late.
+const LIMIT_UP: f64 = 0.02;
+const LIMIT_DOWN: f64 = 0.1;
+/// A request worth more, or less, for its sending time than most may find the limit stretched by so much.
+const LIMIT_STRETCH: (f64, f64) = (0.7, 1.5);
+/// Refused by so many members for want of room, a request is refused: more tries only add to the crowd.
+const FULL_MOST: u32 = 2;
+/// An uncacheable request turned away tries again after this, then twice as long.
+const BACK_OFF: Micros = 80 * MS;
 /// A client told to hold off comes back after this; the backlog is then another one.
 const HOLD_OFF: Micros = 300 * MS;
 /// An answer is due after this plus `DUE_STRETCH` times its sending time.
@@ -54,6 +65,8 @@
     fills: u32,
     heard: Micros,
     mark: f64,
+    /// Requests it may have under way before new ones go elsewhere or are refused.
+    limit: f64,
     holds: u32,
     held_until: Micros,
     /// As a source, when it last failed.
@@ -82,6 +95,9 @@
     /// Caches and sources that failed this request.
     avoid: Vec<MemberId>,
     stale_tried: bool,
+    /// Times it was turned away for want of room, and until when it waits for that.
+    fulls: u32,
+    not_before: Micros,
     /// First send that may have run, and where.
     ran: Option<(Micros, MemberId)>,
     done: bool,
@@ -100,6 +116,8 @@
     ticking: bool,
     /// Mean sending time by class, seconds.
     mean: Vec<f64>,
+    /// Worth asked for a second of sending time, lately: both as running means.
+    asked: (f64, f64),
     object_purges: BTreeMap<ObjectId, Micros>,
     group_purges: BTreeMap<u64, Micros>,
     seen: [BTreeSet<(ObjectId, u64)>; 2],
@@ -117,6 +135,14 @@
     -weight / u.max(1e-12).ln().min(-1e-12)
 }
 
+/// Sending time of a request: by its size where told, else its class's mean.
+fn seconds_of(set: &Settings, mean: &[f64], req: &Request) -> f64 {
+    match req.kb {
+        Some(kb) if set.stream_kb_per_s > 0.0 => kb / set.stream_kb_per_s,
+        _ => mean[req.class],
+    }
+}
+
 impl Router {
     /// A router that knows nothing yet but its settings. The seed only spreads timers.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -130,6 +156,7 @@
             parked: BTreeSet::new(),
             ticking: false,
             mean,
+            asked: (0.0, 0.0),
             object_purges: BTreeMap::new(),
             group_purges: BTreeMap::new(),
             seen: [BTreeSet::new(), BTreeSet::new()],
@@ -181,6 +208,7 @@
                         fills: 0,
                         heard: 0,
                         mark: 0.0,
+                        limit: LIMIT_FIRST * entry.weight,
                         holds: 0,
                         held_until: 0,
                         failed_at: None,
@@ -204,6 +232,9 @@
             let mean = &mut self.mean[req.class];
             *mean += MEAN_STEP * (kb / self.set.stream_kb_per_s - *mean);
         }
+        let (worth, seconds) = (self.set.classes[req.class].worth, self.seconds(&req));
+        self.asked.0 += MEAN_STEP * (worth - self.asked.0);
+        self.asked.1 += MEAN_STEP * (seconds - self.asked.1);
         let deadline = now + req.left;
         let open = Open {
             req,
@@ -212,6 +243,8 @@
             out: Vec::new(),
             avoid: Vec::new(),
             stale_tried: false,
+            fulls: 0,
+            not_before: 0,
             ran: None,
             done: false,
         };
@@ -226,6 +259,10 @@
         if o.attempts >= self.set.max_attempts || !may_resend || now + TICK >= o.deadline {
             return self.finish(id, act);
         }
+        if now < o.not_before {
+            self.parked.insert(id);
+            return;
+        }
         match self.choose(now, o) {
             Choice::Send(member, source) => self.send(now, id, member, source, false, act),
             Choice::Wait => {
@@ -364,9 +401,12 @@
         if !proves_idle && o.ran.is_none() {
             o.ran = Some((out.sent, out.member));
         }
+        let full = e.status == Status::Full || e.note == Note::NoFillPlace;
+        o.fulls += full as u32;
         let (done, class, kb, key) =
             (o.done || e.closed, o.req.class, o.req.kb, (o.req.object, o.req.part));
         let source = out.source.filter(|s| *s != out.member);
+        let seconds = seconds_of(&self.set, &self.mean, &o.req);
         if let Some(m) = self.members.get_mut(&out.member) {
             m.out = m.out.saturating_sub(1);
             m.out_kb = (m.out_kb - kb.unwrap_or(1.0)).max(0.0);
@@ -384,6 +424,12 @@
                 self.mean[class] += MEAN_STEP * (e.elapsed as f64 / 1e6 - self.mean[class]);
             }
         }
+        let class_aim =
+            self.set.classes[class].aim as f64 + self.set.classes[class].aim_stretch * 1e6 * seconds;
+        let late = e.elapsed as f64 > class_aim || matches!(e.status, Status::Full | Status::Timeout);
+        if !matches!(e.status, Status::Miss | Status::ConnectFailed | Status::Moot | Status::Cancelled) {
+            self.adapt(out.member, late);
+        }
         let blame = self.judge(now, &e, &out, source);
         if done {
             return self.close(e.request, act);
@@ -397,6 +443,12 @@
             Blame::Cache => o.avoid.push(out.member),
             Blame::Source => o.avoid.extend(source),
         }
+        if full && self.set.classes[class].uncacheable {
+            o.not_before = now + (BACK_OFF << o.fulls.min(6));
+            o.avoid.clear();
+        } else if o.fulls >= FULL_MOST {
+            return self.finish(e.request, act);
+        }
         // The design: a failed fill is answered from what that cache holds, within the grace.
         let c = &self.set.classes[o.req.class];
         let stale = blame == Blame::Source && e.note != Note::SourceLacks && c.fresh > 0 && c.grace > 0;
@@ -409,6 +461,17 @@
         self.go_on(now, e.request, act);
     }
 
+    /// Late answers at a cache, whatever slows it (itself, its source, the link in): fewer at once.
+    fn adapt(&mut self, id: MemberId, late: bool) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        let w = m.entry.weight;
+        if late {
+            m.limit = (m.limit * (1.0 - LIMIT_DOWN)).max(LIMIT_LEAST * w).max(1.0);
+        } else if m.out as f64 + 1.0 > m.limit / 2.0 {
+            m.limit = (m.limit * (1.0 + LIMIT_UP)).min(LIMIT_MOST * w);
+        }
+    }
+
     /// Whose failure an outcome is, and what it does to that member's standing.
     fn judge(&mut self, now: Micros, e: &Outcome, out: &Out, source: Option<MemberId>) -> Blame {
         let quiet = self.members.get(&out.member).is_none_or(|m| m.heard < out.sent);
@@ -581,12 +644,8 @@
         !self.is_origin(m) && !self.is_parent(m)
     }
 
-    /// Sending time of a request: by its size where told, else its class's mean.
     fn seconds(&self, req: &Request) -> f64 {
-        match req.kb {
-            Some(kb) if self.set.stream_kb_per_s > 0.0 => kb / self.set.stream_kb_per_s,
-            _ => self.mean[req.class],
-        }
+        seconds_of(&self.set, &self.mean, req)
     }
 
     fn weight(&self, m: &Member) -> f64 {
@@ -669,17 +728,22 @@
         if order.is_empty() {
             return Choice::Wait;
         }
+        let stretch = self.stretch(&o.req);
+        order.retain(|m| (m.out as f64) < m.limit * stretch);
         let Some(cache) = self.pick(o.req.object.0, &order, |m| (m.out, m.out_kb)) else {
-            return Choice::Wait;
-        };
-        let pressure = order.iter().map(|m| m.out as f64 / m.entry.weight).fold(f64::INFINITY, f64::min);
-        if pressure > REFUSE_ABOVE && o.attempts == 0 {
             return Choice::Refuse;
-        }
+        };
         let source = self.choose_source(now, o).unwrap_or(cache);
         Choice::Send(cache, Some(source))
     }
 
+    /// What earns more for its sending time than most comes first where there is not room for all.
+    fn stretch(&self, req: &Request) -> f64 {
+        let usual = self.asked.0 / self.asked.1.max(1e-6);
+        let own = self.set.classes[req.class].worth / self.seconds(req).max(1e-6);
+        (own / usual.max(1e-6)).sqrt().clamp(LIMIT_STRETCH.0, LIMIT_STRETCH.1)
+    }
+
     /// The object's parent: hash order over all that are listed, then the origin.
     fn choose_source(&self, now: Micros, o: &Open) -> Option<MemberId> {
         let usable = |m: &&Member| self.may_send(now, m, o.req.class) && !o.avoid.contains(&m.entry.id);
