--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,6 +48,10 @@
 const COLD_SHARE: f64 = 0.7;
 /// Share by which one answer moves a class's mean sending time.
 const MEAN_STEP: f64 = 0.02;
+/// The first guess of a class's mean (its aim) counts like so many answers.
+const MEAN_GUESS: f64 = 5.0;
+/// Where sizes are untold the mean is of quick answers: a cold member's budget is charged this much more.
+const UNTOLD_COST: f64 = 1.5;
 /// Purges are remembered this much longer than copies from before them last.
 const PURGE_MARGIN: Micros = 1_000 * MS;
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
@@ -116,6 +120,8 @@
     ticking: bool,
     /// Mean sending time by class, seconds.
     mean: Vec<f64>,
+    learned: Vec<u32>,
+    sizes_told: bool,
     /// Worth asked for a second of sending time, lately: both as running means.
     asked: (f64, f64),
     object_purges: BTreeMap<ObjectId, Micros>,
@@ -146,7 +152,7 @@
 impl Router {
     /// A router that knows nothing yet but its settings. The seed only spreads timers.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let mean = settings.classes.iter().map(|c| c.aim as f64 / 1e6).collect();
+        let mean: Vec<f64> = settings.classes.iter().map(|c| c.aim as f64 / 1e6).collect();
         Self {
             set: settings,
             born: None,
@@ -155,6 +161,8 @@
             open: BTreeMap::new(),
             parked: BTreeSet::new(),
             ticking: false,
+            sizes_told: false,
+            learned: vec![0; mean.len()],
             mean,
             asked: (0.0, 0.0),
             object_purges: BTreeMap::new(),
@@ -229,8 +237,8 @@
             return act.push(Action::Refuse { request: id, retry_after: None });
         }
         if let Some(kb) = req.kb.filter(|_| self.set.stream_kb_per_s > 0.0) {
-            let mean = &mut self.mean[req.class];
-            *mean += MEAN_STEP * (kb / self.set.stream_kb_per_s - *mean);
+            self.sizes_told = true;
+            self.learn(req.class, kb / self.set.stream_kb_per_s);
         }
         let (worth, seconds) = (self.set.classes[req.class].worth, self.seconds(&req));
         self.asked.0 += MEAN_STEP * (worth - self.asked.0);
@@ -342,7 +350,6 @@
         act: &mut Vec<Action>,
     ) {
         self.parked.remove(&id);
-        let cost = |r: &Self, class: usize| r.mean[class];
         let Some(o) = self.open.get(&id) else { return };
         let (class, kb) = (o.req.class, o.req.kb.unwrap_or(1.0));
         let purge_limit = self.purge_limit(now, &o.req);
@@ -367,7 +374,7 @@
                 renew: c.fresh > 0 && !stale_try,
             }
         });
-        let seconds = cost(self, class);
+        let seconds = self.cost(class);
         let timeout = o.deadline - now;
         for (target, is_source) in [(Some(member), false), (source.filter(|s| *s != member), true)] {
             let Some(m) = target.and_then(|t| self.members.get_mut(&t)) else { continue };
@@ -420,8 +427,10 @@
         }
         if e.status == Status::Ok {
             self.remember(key);
-            if kb.is_none() && matches!(e.note, Note::Hit | Note::Old | Note::Untold) {
-                self.mean[class] += MEAN_STEP * (e.elapsed as f64 / 1e6 - self.mean[class]);
+            // Answers within the bare aim only: slow ones would raise the mean and with it what counts as late.
+            let quick = e.elapsed <= self.set.classes[class].aim;
+            if kb.is_none() && quick && matches!(e.note, Note::Hit | Note::Old | Note::Untold) {
+                self.learn(class, e.elapsed as f64 / 1e6);
             }
         }
         let class_aim =
@@ -472,6 +481,12 @@
         }
     }
 
+    fn learn(&mut self, class: usize, seconds: f64) {
+        self.learned[class] += 1;
+        let step = MEAN_STEP.max(1.0 / (MEAN_GUESS + self.learned[class] as f64));
+        self.mean[class] += step * (seconds - self.mean[class]);
+    }
+
     /// Whose failure an outcome is, and what it does to that member's standing.
     fn judge(&mut self, now: Micros, e: &Outcome, out: &Out, source: Option<MemberId>) -> Blame {
         let quiet = self.members.get(&out.member).is_none_or(|m| m.heard < out.sent);
@@ -699,7 +714,12 @@
         let share = rule.start_share + (1.0 - rule.start_share) * warm.min(1.0);
         let budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
         let spent: f64 = m.spent.iter().rev().take_while(|s| s.0 > from).map(|s| s.2).sum();
-        spent + self.mean[class] <= budget / sharing.max(1) as f64
+        spent + self.cost(class) <= budget / sharing.max(1) as f64
+    }
+
+    /// What one request costs a cold member.
+    fn cost(&self, class: usize) -> f64 {
+        self.mean[class] * if self.sizes_told { 1.0 } else { UNTOLD_COST }
     }
 
     /// Not held off for failures; just after a hold one request at a time tries it.
