--- a/src/logic.rs
+++ b/src/logic.rs
@@ -121,6 +121,8 @@
     /// Mean sending time by class, seconds.
     mean: Vec<f64>,
     learned: Vec<u32>,
+    /// Routers that send to this location's caches.
+    sharing: f64,
     sizes_told: bool,
     /// Worth asked for a second of sending time, lately: both as running means.
     asked: (f64, f64),
@@ -154,20 +156,21 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let mean: Vec<f64> = settings.classes.iter().map(|c| c.aim as f64 / 1e6).collect();
         Self {
-            set: settings,
-            born: None,
             rng: seed,
+            born: None,
             members: BTreeMap::new(),
             open: BTreeMap::new(),
             parked: BTreeSet::new(),
             ticking: false,
             sizes_told: false,
+            sharing: settings.zones.get(settings.zone).map_or(1, |z| z.routers.max(1)) as f64,
             learned: vec![0; mean.len()],
             mean,
             asked: (0.0, 0.0),
             object_purges: BTreeMap::new(),
             group_purges: BTreeMap::new(),
             seen: [BTreeSet::new(), BTreeSet::new()],
+            set: settings,
         }
     }
 
@@ -216,7 +219,7 @@
                         fills: 0,
                         heard: 0,
                         mark: 0.0,
-                        limit: LIMIT_FIRST * entry.weight,
+                        limit: (LIMIT_FIRST * entry.weight / self.sharing).max(1.0),
                         holds: 0,
                         held_until: 0,
                         failed_at: None,
@@ -473,7 +476,7 @@
     /// Late answers at a cache, whatever slows it (itself, its source, the link in): fewer at once.
     fn adapt(&mut self, id: MemberId, late: bool) {
         let Some(m) = self.members.get_mut(&id) else { return };
-        let w = m.entry.weight;
+        let w = m.entry.weight / self.sharing;
         if late {
             m.limit = (m.limit * (1.0 - LIMIT_DOWN)).max(LIMIT_LEAST * w).max(1.0);
         } else if m.out as f64 + 1.0 > m.limit / 2.0 {
@@ -700,8 +703,8 @@
     fn cold_room(&self, now: Micros, m: &Member, class: usize) -> bool {
         let (rule, sharing) = match (self.is_parent(m), self.is_origin(m)) {
             (_, true) => return true,
-            (true, _) => (&self.set.cold_parent, self.set.routers),
-            _ => (&self.set.cold_cache, self.set.zones.get(self.set.zone).map_or(1, |z| z.routers)),
+            (true, _) => (&self.set.cold_parent, self.set.routers.max(1) as f64),
+            _ => (&self.set.cold_cache, self.sharing),
         };
         if m.entry.started == 0 || now >= m.entry.started + rule.warm_within + rule.window {
             return true;
@@ -714,7 +717,7 @@
         let share = rule.start_share + (1.0 - rule.start_share) * warm.min(1.0);
         let budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
         let spent: f64 = m.spent.iter().rev().take_while(|s| s.0 > from).map(|s| s.2).sum();
-        spent + self.cost(class) <= budget / sharing.max(1) as f64
+        spent + self.cost(class) <= budget / sharing
     }
 
     /// What one request costs a cold member.
@@ -789,7 +792,7 @@
         let within = |m: &&&Member| {
             let (count, size) = load(m);
             let w = self.weight(m);
-            (count as f64) < BOUND_FLOOR * w || size <= BOUND * under_way * w / total
+            (count as f64) < BOUND_FLOOR * w / self.sharing || size <= BOUND * under_way * w / total
         };
         let home = |a: &&&Member, b: &&&Member| {
             score(object, a.entry.id, self.weight(a)).total_cmp(&score(object, b.entry.id, self.weight(b)))
