--- a/src/logic.rs
+++ b/src/logic.rs
@@ -137,6 +137,11 @@
     x ^ (x >> 31)
 }
 
+/// Caches share out copies, which are parts; parents share out objects.
+fn copy_key(req: &Request) -> u64 {
+    req.object.0 ^ mix(req.part)
+}
+
 /// Weighted rendezvous: the member with the highest score is the object's home.
 fn score(object: u64, member: MemberId, weight: f64) -> f64 {
     let u = (mix(object ^ mix(member.0)) >> 11) as f64 / (1_u64 << 53) as f64;
@@ -753,7 +758,7 @@
         }
         let stretch = self.stretch(&o.req);
         order.retain(|m| (m.out as f64) < m.limit * stretch);
-        let Some(cache) = self.pick(o.req.object.0, &order, |m| (m.out, m.out_kb)) else {
+        let Some(cache) = self.pick(copy_key(&o.req), &order, |m| (m.out, m.out_kb)) else {
             return Choice::Refuse;
         };
         let source = self.choose_source(now, o).unwrap_or(cache);
