--- a/src/logic.rs
+++ b/src/logic.rs
@@ -52,6 +52,8 @@
 const MEAN_GUESS: f64 = 5.0;
 /// Where sizes are untold the mean is of quick answers: a cold member's budget is charged this much more.
 const UNTOLD_COST: f64 = 1.5;
+/// ... and an answer is late only if it would be for an object this many times the mean.
+const UNTOLD_SIZE: f64 = 3.0;
 /// Purges are remembered this much longer than copies from before them last.
 const PURGE_MARGIN: Micros = 1_000 * MS;
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
