A spilled request is filled from the cache that served the copy last

Symptom: after a deploy a location stayed 15% late and 10% refused for good, no errors, nothing in the change log. Cause: with its home over the limit a request goes to the next cache, which lacks the copy; the fill takes the location's link, fills get slower, limits fall, more requests spill. Change: the fill names the cache that served the copy last (no purge pending, within drain and cold rules) instead of the tier above. Also helps with cold homes and slow parents; may hurt where the last server has dropped the copy: one look and another attempt.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -52,8 +52,6 @@
 const MEAN_GUESS: f64 = 5.0;
 /// Where sizes are untold the mean is of quick answers: a cold member's budget is charged this much more.
 const UNTOLD_COST: f64 = 1.5;
-/// ... and an answer is late only if it would be for an object this many times the mean.
-const UNTOLD_SIZE: f64 = 3.0;
 /// Purges are remembered this much longer than copies from before them last.
 const PURGE_MARGIN: Micros = 1_000 * MS;
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
@@ -130,7 +128,8 @@
     asked: (f64, f64),
     object_purges: BTreeMap<ObjectId, Micros>,
     group_purges: BTreeMap<u64, Micros>,
-    seen: [BTreeSet<(ObjectId, u64)>; 2],
+    /// Copies asked for before and a cache that served each; the older table is dropped when the newer is full.
+    seen: [BTreeMap<(ObjectId, u64), MemberId>; 2],
 }
 
 fn mix(mut x: u64) -> u64 {
@@ -176,7 +175,7 @@
             asked: (0.0, 0.0),
             object_purges: BTreeMap::new(),
             group_purges: BTreeMap::new(),
-            seen: [BTreeSet::new(), BTreeSet::new()],
+            seen: [BTreeMap::new(), BTreeMap::new()],
             set: settings,
         }
     }
@@ -436,7 +435,7 @@
             }
         }
         if e.status == Status::Ok {
-            self.remember(key);
+            self.remember(key, out.member);
             // Answers within the bare aim only: slow ones would raise the mean and with it what counts as late.
             let quick = e.elapsed <= self.set.classes[class].aim;
             if kb.is_none() && quick && matches!(e.note, Note::Hit | Note::Old | Note::Untold) {
@@ -684,15 +683,25 @@
     /// The rank a copy is kept at: first asked for, low; asked for again, above what was asked for once.
     fn rank(&self, req: &Request) -> u8 {
         let key = (req.object, req.part);
-        1 + self.seen.iter().any(|s| s.contains(&key)) as u8
+        1 + self.seen.iter().any(|s| s.contains_key(&key)) as u8
     }
 
-    fn remember(&mut self, key: (ObjectId, u64)) {
+    fn remember(&mut self, key: (ObjectId, u64), cache: MemberId) {
         if self.seen[0].len() >= SEEN_MOST {
             self.seen.swap(0, 1);
             self.seen[0].clear();
         }
-        self.seen[0].insert(key);
+        self.seen[0].insert(key, cache);
+    }
+
+    /// A request sent past its home is filled from the cache that served the copy last, not through the link in.
+    fn holder(&self, now: Micros, o: &Open, cache: MemberId) -> Option<MemberId> {
+        let key = (o.req.object, o.req.part);
+        let id = *self.seen.iter().find_map(|s| s.get(&key))?;
+        let m =
+            self.members.get(&id).filter(|m| self.set.siblings != Siblings::None && self.is_cache(m))?;
+        let fit = id != cache && !o.avoid.contains(&id) && self.healthy(now, m);
+        (fit && self.purge_limit(now, &o.req).is_none() && self.may_send(now, m, o.req.class)).then_some(id)
     }
 
     fn source_failed(&self, now: Micros, id: MemberId) -> bool {
@@ -763,7 +772,7 @@
         let Some(cache) = self.pick(copy_key(&o.req), &order, |m| (m.out, m.out_kb)) else {
             return Choice::Refuse;
         };
-        let source = self.choose_source(now, o).unwrap_or(cache);
+        let source = self.holder(now, o, cache).or_else(|| self.choose_source(now, o)).unwrap_or(cache);
         Choice::Send(cache, Some(source))
     }
 
