--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
 const BOUND: f64 = 1.25;
 /// ... but below this many requests for each unit of weight nothing is skipped: links are not full yet.
 const BOUND_FLOOR: f64 = 0.6;
-/// A cache takes so many requests at once for each unit of weight at first, and never fewer or more than these.
+/// Requests that a cache takes at once for each unit of weight: at first, at least, at most.
 const LIMIT_FIRST: f64 = 2.0;
 const LIMIT_LEAST: f64 = 0.5;
 const LIMIT_MOST: f64 = 4.0;
@@ -128,7 +128,7 @@
     asked: (f64, f64),
     object_purges: BTreeMap<ObjectId, Micros>,
     group_purges: BTreeMap<u64, Micros>,
-    /// Copies asked for before and a cache that served each; the older table is dropped when the newer is full.
+    /// Copies asked for before and the cache that served each; the older table goes when the newer is full.
     seen: [BTreeMap<(ObjectId, u64), MemberId>; 2],
 }
 
@@ -436,7 +436,7 @@
         }
         if e.status == Status::Ok {
             self.remember(key, out.member);
-            // Answers within the bare aim only: slow ones would raise the mean and with it what counts as late.
+            // Quick answers only: slow ones would raise the mean and with it what counts as late.
             let quick = e.elapsed <= self.set.classes[class].aim;
             if kb.is_none() && quick && matches!(e.note, Note::Hit | Note::Old | Note::Untold) {
                 self.learn(class, e.elapsed as f64 / 1e6);
@@ -592,7 +592,7 @@
         }
     }
 
-    /// A cache that takes work and answers nothing: several answers overdue, and no word since they were sent.
+    /// A cache that takes work and answers nothing: several answers overdue, no word since they were sent.
     /// Its requests are cancelled and go elsewhere as their outcomes arrive.
     fn find_silent(&mut self, now: Micros, act: &mut Vec<Action>) {
         let mut overdue: BTreeMap<MemberId, usize> = BTreeMap::new();
@@ -694,7 +694,7 @@
         self.seen[0].insert(key, cache);
     }
 
-    /// A request sent past its home is filled from the cache that served the copy last, not through the link in.
+    /// A request sent past its home is filled from the cache that served the copy last, not over the link in.
     fn holder(&self, now: Micros, o: &Open, cache: MemberId) -> Option<MemberId> {
         let key = (o.req.object, o.req.part);
         let id = *self.seen.iter().find_map(|s| s.get(&key))?;
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -131,3 +131,74 @@
     s.now += 4 * S;
     assert_eq!(s.ask(VIDEO, "a")[0].member, sent.member);
 }
+
+/// Fills the home of `name` until a request for it goes to another cache.
+fn spill(s: &mut Stage, name: &str) -> (MemberId, Sent) {
+    let first = s.ask(VIDEO, name).remove(0);
+    s.end(&first, Status::Ok, Note::Filled);
+    loop {
+        let sent = s.ask(VIDEO, name).remove(0);
+        if sent.member != first.member {
+            return (first.member, sent);
+        }
+    }
+}
+
+#[test]
+fn a_spilled_request_is_filled_from_the_cache_that_served_the_copy() {
+    let mut s = Stage::new();
+    let (home, spilled) = spill(&mut s, "a");
+    assert_eq!(spilled.source(), home);
+    let next = s.end(&spilled, Status::Miss, Note::SourceLacks).remove(0);
+    assert_ne!(next.source(), home, "it lacked the copy: on to the tier above");
+}
+
+#[test]
+fn after_a_purge_a_spilled_request_is_filled_from_above() {
+    let mut s = Stage::new();
+    let (home, _) = spill(&mut s, "a");
+    s.tell(Event::Purge { object: Some(ObjectId::named("a")), group: 5, age: 0 });
+    assert_ne!(s.ask(VIDEO, "a")[0].source(), home);
+}
+
+#[test]
+fn late_answers_lower_what_a_location_takes() {
+    let admitted = |elapsed: Micros| {
+        let mut s = Stage::new();
+        for i in 0..200 {
+            let sent = s.ask(VIDEO, &format!("o{i}")).remove(0);
+            s.tell(Event::Outcome(Outcome {
+                request: sent.request,
+                attempt: sent.attempt,
+                member: sent.member,
+                status: Status::Ok,
+                note: Note::Filled,
+                elapsed,
+                waited: 0,
+                closed: true,
+            }));
+        }
+        (0..200).filter(|i| !s.ask(VIDEO, &format!("n{i}")).is_empty()).count()
+    };
+    let (quick, slow) = (admitted(50 * MS), admitted(2 * S));
+    assert!(slow > 0 && slow < quick && quick < 200, "{slow} {quick}");
+}
+
+#[test]
+fn a_request_turned_away_twice_for_want_of_room_is_refused() {
+    let mut s = Stage::new();
+    let first = s.ask(VIDEO, "a").remove(0);
+    let second = s.end(&first, Status::Full, Note::Untold).remove(0);
+    assert_ne!(second.member, first.member);
+    assert!(s.end(&second, Status::Full, Note::Untold).is_empty());
+    assert!(matches!(s.finals()[..], [Action::Refuse { .. }]));
+}
+
+#[test]
+fn an_uncacheable_request_turned_away_waits_before_it_tries_again() {
+    let mut s = Stage::new();
+    let first = s.ask(KEYED, "a").remove(0);
+    assert!(s.end(&first, Status::Full, Note::Untold).is_empty());
+    assert!(s.wait(50 * MS).is_empty());
+    assert_eq!(s.wait(150 * MS).len(), 1);
+}
