--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,7 +36,7 @@
 /// So many answers overdue at a member not heard from meanwhile: it is silent.
 const SILENT_COUNT: usize = 2;
 /// Share by which one outcome moves a member's failure mark; the mark over which it is held off; the mark of
-/// a refused or broken connection or of silence; the mark under which it is trusted again.
+/// a refused connection or of silence; the mark under which it is trusted again.
 const MARK_STEP: f64 = 0.2;
 const MARK_HOLD: f64 = 0.4;
 const MARK_HARD: f64 = 0.5;
@@ -526,10 +526,15 @@
                 Blame::Source
             }
             (Status::Full, _) | (_, Note::NoFillPlace) => Blame::Cache,
-            (Status::ConnectFailed | Status::Reset, _) => {
+            (Status::ConnectFailed, _) => {
                 self.bad(now, out.member, MARK_HARD);
                 Blame::Cache
             }
+            // A dead process cuts all that it held, which adds up; single cuts are like single errors.
+            (Status::Reset, _) => {
+                self.bad(now, out.member, 0.0);
+                Blame::Cache
+            }
             (Status::Error, _) if self.set.notes == Notes::None && source.is_some() => {
                 if let Some(s) = source {
                     self.bad(now, s, 0.0);
