With no room for a fill, a request looks at the held copy before it is refused

Cause: slow fills hold every place under the limit, so hits are refused with them. Told from full caches by short p50 and low throughput. Change: a look (no fill, age within grace and purge), a miss returns at once and is refused. Holds for anything that slows the tier above; may hurt where the caches' own links are full.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,8 @@
 /// balance about one answer in six is late.
 const LIMIT_UP: f64 = 0.02;
 const LIMIT_DOWN: f64 = 0.1;
+/// Looks at held copies that a full cache takes besides, for each unit of weight.
+const LOOKS: f64 = 1.0;
 /// A request worth more, or less, for its sending time than most may find the limit stretched by so much.
 const LIMIT_STRETCH: (f64, f64) = (0.7, 1.5);
 /// Refused by so many members for want of room, a request is refused: more tries only add to the crowd.
@@ -65,6 +67,8 @@
     /// Requests under way at it, and their size.
     out: u32,
     out_kb: f64,
+    /// ... of these, looks at what it holds.
+    looks: u32,
     /// Requests under way that name it as the source.
     fills: u32,
     heard: Micros,
@@ -222,6 +226,7 @@
                     let m = Member {
                         out: 0,
                         out_kb: 0.0,
+                        looks: 0,
                         fills: 0,
                         heard: 0,
                         mark: 0.0,
@@ -282,6 +287,7 @@
         }
         match self.choose(now, o) {
             Choice::Send(member, source) => self.send(now, id, member, source, false, act),
+            Choice::Look(member) => self.send(now, id, member, Some(member), true, act),
             Choice::Wait => {
                 self.parked.insert(id);
             }
@@ -392,6 +398,7 @@
             } else {
                 m.out += 1;
                 m.out_kb += kb;
+                m.looks += stale_try as u32;
             }
             m.spent.push_back((now, id, seconds));
             while m.spent.len() > 4096 {
@@ -425,6 +432,7 @@
         let seconds = seconds_of(&self.set, &self.mean, &o.req);
         if let Some(m) = self.members.get_mut(&out.member) {
             m.out = m.out.saturating_sub(1);
+            m.looks = m.looks.saturating_sub(out.stale_try as u32);
             m.out_kb = (m.out_kb - kb.unwrap_or(1.0)).max(0.0);
         }
         if let Some(m) = source.and_then(|s| self.members.get_mut(&s)) {
@@ -773,9 +781,13 @@
             return Choice::Wait;
         }
         let stretch = self.stretch(&o.req);
-        order.retain(|m| (m.out as f64) < m.limit * stretch);
-        let Some(cache) = self.pick(copy_key(&o.req), &order, |m| (m.out, m.out_kb)) else {
-            return Choice::Refuse;
+        let room = |m: &&Member| (m.out.saturating_sub(m.looks) as f64) < m.limit * stretch;
+        let open: Vec<&Member> = order.iter().filter(|m| room(m)).copied().collect();
+        let Some(cache) = self.pick(copy_key(&o.req), &open, |m| (m.out, m.out_kb)) else {
+            // No room for what may need a fill: a copy held at home still answers, a miss comes back at once.
+            order.retain(|m| (m.looks as f64) < LOOKS * m.entry.weight / self.sharing);
+            let home = self.pick(copy_key(&o.req), &order, |_| (0, 0.0));
+            return home.filter(|_| !o.stale_tried).map_or(Choice::Refuse, Choice::Look);
         };
         let source = self.holder(now, o, cache).or_else(|| self.choose_source(now, o)).unwrap_or(cache);
         Choice::Send(cache, Some(source))
@@ -862,6 +874,8 @@
 
 enum Choice {
     Send(MemberId, Option<MemberId>),
+    /// Ask for what it holds only, within the grace.
+    Look(MemberId),
     /// Nobody to send to now.
     Wait,
     Refuse,
