--- a/src/logic.rs
+++ b/src/logic.rs
@@ -786,7 +786,9 @@
         let Some(cache) = self.pick(copy_key(&o.req), &open, |m| (m.out, m.out_kb)) else {
             // No room for what may need a fill: a copy held at home still answers, a miss comes back at once.
             order.retain(|m| (m.looks as f64) < LOOKS * m.entry.weight / self.sharing);
-            let home = self.pick(copy_key(&o.req), &order, |_| (0, 0.0));
+            let held = self.seen.iter().find_map(|s| s.get(&(o.req.object, o.req.part)));
+            let held = held.copied().filter(|id| order.iter().any(|m| m.entry.id == *id));
+            let home = held.or_else(|| self.pick(copy_key(&o.req), &order, |_| (0, 0.0)));
             return home.filter(|_| !o.stale_tried).map_or(Choice::Refuse, Choice::Look);
         };
         let source = self.holder(now, o, cache).or_else(|| self.choose_source(now, o)).unwrap_or(cache);
