--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,9 +19,9 @@
 const LIMIT_LEAST: f64 = 0.5;
 const LIMIT_MOST: f64 = 4.0;
 /// An answer in time from a busy cache raises its limit by this share, a late or missing one lowers it: in
-/// balance about one answer in six is late.
+/// balance about one answer in eleven is late.
 const LIMIT_UP: f64 = 0.02;
-const LIMIT_DOWN: f64 = 0.1;
+const LIMIT_DOWN: f64 = 0.2;
 /// Looks at held copies that a full cache takes besides, for each unit of weight.
 const LOOKS: f64 = 1.0;
 /// A request worth more, or less, for its sending time than most may find the limit stretched by so much.
