A source whose fills never come is found by its silence; member filters merged

Cause: fills waiting on one source that takes them and sends nothing; the caches give up only after seconds. Told from silent caches by hits going on at the same caches, from a slow link by fills from other sources arriving. Change: several answers overdue at caches that were heard since, and no fill seen from their source: hold it off, cancel, answer from the held copy (the stale retry).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -71,7 +71,9 @@
     looks: u32,
     /// Requests under way that name it as the source.
     fills: u32,
+    /// Last word from it, and last fill seen to come from it.
     heard: Micros,
+    filled: Micros,
     mark: f64,
     /// Requests it may have under way before new ones go elsewhere or are refused.
     limit: f64,
@@ -89,7 +91,8 @@
     member: MemberId,
     source: Option<MemberId>,
     sent: Micros,
-    cancelled: bool,
+    /// Cancelled, and for whose silence.
+    cancelled: Option<Blame>,
     /// From what the cache holds only, within the grace.
     stale_try: bool,
 }
@@ -191,7 +194,7 @@
             Event::Members { update, entries } => self.on_members(update, entries),
             Event::Request(req) => self.on_request(now, req, act),
             Event::Outcome(outcome) => self.on_outcome(now, outcome, act),
-            Event::Hangup(id) => self.on_hangup(id, act),
+            Event::Hangup(id) => self.close(id, act),
             Event::Timer(_) => self.on_timer(now, act),
             Event::Purge { object, group, age } => self.on_purge(now, object, group, age),
             Event::Probed { .. } => {}
@@ -229,6 +232,7 @@
                         looks: 0,
                         fills: 0,
                         heard: 0,
+                        filled: 0,
                         mark: 0.0,
                         limit: (LIMIT_FIRST * entry.weight / self.sharing).max(1.0),
                         holds: 0,
@@ -342,8 +346,8 @@
         self.parked.remove(&id);
         let Some(o) = self.open.get_mut(&id) else { return };
         o.done = true;
-        for out in o.out.iter_mut().filter(|out| !out.cancelled && self.set.may_cancel) {
-            out.cancelled = true;
+        for out in o.out.iter_mut().filter(|out| out.cancelled.is_none() && self.set.may_cancel) {
+            out.cancelled = Some(Blame::Nobody);
             act.push(Action::Cancel { request: id, attempt: out.attempt });
         }
         if o.out.is_empty() {
@@ -351,10 +355,6 @@
         }
     }
 
-    fn on_hangup(&mut self, id: RequestId, act: &mut Vec<Action>) {
-        self.close(id, act);
-    }
-
     fn send(
         &mut self,
         now: Micros,
@@ -391,6 +391,7 @@
         });
         let seconds = self.cost(class);
         let timeout = o.deadline - now;
+        let window = self.set.cold_cache.window.max(self.set.cold_parent.window);
         for (target, is_source) in [(Some(member), false), (source.filter(|s| *s != member), true)] {
             let Some(m) = target.and_then(|t| self.members.get_mut(&t)) else { continue };
             if is_source {
@@ -401,12 +402,12 @@
                 m.looks += stale_try as u32;
             }
             m.spent.push_back((now, id, seconds));
-            while m.spent.len() > 4096 {
+            while m.spent.front().is_some_and(|s| s.0 + window <= now) {
                 m.spent.pop_front();
             }
         }
         let o = self.open.get_mut(&id).expect("looked up above");
-        let out = Out { attempt: o.attempts, member, source, sent: now, cancelled: false, stale_try };
+        let out = Out { attempt: o.attempts, member, source, sent: now, cancelled: None, stale_try };
         o.out.push(out);
         o.attempts += 1;
         o.stale_tried |= stale_try;
@@ -516,7 +517,12 @@
             (Status::Ok, note) => {
                 self.good(out.member, MARK_STEP);
                 match (note, source) {
-                    (Note::Filled | Note::FilledByOrigin, Some(s)) => self.good(s, MARK_STEP),
+                    (Note::Filled | Note::FilledByOrigin, Some(s)) => {
+                        self.good(s, MARK_STEP);
+                        if let Some(m) = self.members.get_mut(&s) {
+                            m.filled = now;
+                        }
+                    }
                     // Untold, most answers are hits and say little of the source.
                     (Note::Untold, Some(s)) => self.good(s, MARK_STEP / 4.0),
                     _ => {}
@@ -566,7 +572,7 @@
                     Blame::Source
                 }
             }
-            (Status::Cancelled, _) => Blame::Cache,
+            (Status::Cancelled, _) => out.cancelled.unwrap_or(Blame::Cache),
             (Status::Moot, _) => Blame::Nobody,
         }
     }
@@ -605,38 +611,57 @@
         }
     }
 
-    /// A cache that takes work and answers nothing: several answers overdue, no word since they were sent.
-    /// Its requests are cancelled and go elsewhere as their outcomes arrive.
+    /// A cache that takes work and answers nothing, or a source whose fills never come: several answers
+    /// overdue, no word since they were sent. Their requests are cancelled and go elsewhere.
     fn find_silent(&mut self, now: Micros, act: &mut Vec<Action>) {
-        let mut overdue: BTreeMap<MemberId, usize> = BTreeMap::new();
+        let mut overdue: BTreeMap<(MemberId, Blame), usize> = BTreeMap::new();
         for o in self.open.values() {
-            for out in o.out.iter().filter(|out| !out.cancelled) {
+            for out in o.out.iter().filter(|out| out.cancelled.is_none()) {
                 let due = out.sent + DUE + (DUE_STRETCH * 1e6 * self.seconds(&o.req)) as Micros;
-                let quiet = self.members.get(&out.member).is_some_and(|m| m.heard < out.sent);
-                if quiet && now > due {
-                    *overdue.entry(out.member).or_default() += 1;
+                if now > due {
+                    if let Some(key) = self.silent_part(out) {
+                        *overdue.entry(key).or_default() += 1;
+                    }
                 }
             }
         }
-        for (id, count) in overdue {
+
+        for (&(id, blame), &count) in &overdue {
             let on_trial = self.members.get(&id).is_some_and(|m| m.mark >= MARK_TRUST);
-            if count >= SILENT_COUNT || on_trial {
+            let enough = if blame == Blame::Source { 2 * SILENT_COUNT } else { SILENT_COUNT };
+            if count >= enough || on_trial {
                 self.bad(now, id, MARK_HARD);
+                if blame == Blame::Source {
+                    self.source_down(now, id);
+                }
                 if self.set.may_cancel {
-                    self.cancel_all(id, act);
+                    self.cancel_all(id, blame, act);
                 }
             }
         }
     }
 
-    fn cancel_all(&mut self, member: MemberId, act: &mut Vec<Action>) {
-        for (id, o) in self.open.iter_mut() {
+    /// Whom an overdue attempt waits for: the cache if it has said nothing since, else the source likewise.
+    /// Untold, fills are not seen to arrive and a slow link would pass for a silent source.
+    fn silent_part(&self, out: &Out) -> Option<(MemberId, Blame)> {
+        if self.members.get(&out.member)?.heard < out.sent {
+            return Some((out.member, Blame::Cache));
+        }
+        let source = self.members.get(&out.source.filter(|s| *s != out.member)?)?;
+        (self.set.notes != Notes::None && source.filled < out.sent)
+            .then_some((source.entry.id, Blame::Source))
+    }
+
+    fn cancel_all(&mut self, id: MemberId, blame: Blame, act: &mut Vec<Action>) {
+        for (request, o) in self.open.iter_mut() {
             if self.set.classes[o.req.class].repeat == Repeat::Unsafe {
                 continue;
             }
-            for out in o.out.iter_mut().filter(|out| out.member == member && !out.cancelled) {
-                out.cancelled = true;
-                act.push(Action::Cancel { request: *id, attempt: out.attempt });
+            for out in o.out.iter_mut().filter(|out| out.cancelled.is_none()) {
+                if (if blame == Blame::Cache { Some(out.member) } else { out.source }) == Some(id) {
+                    out.cancelled = Some(blame);
+                    act.push(Action::Cancel { request: *request, attempt: out.attempt });
+                }
             }
         }
     }
@@ -677,8 +702,9 @@
         Some(m.entry.kind) == self.set.parent_kind
     }
 
+    /// One of this location's caches.
     fn is_cache(&self, m: &Member) -> bool {
-        !self.is_origin(m) && !self.is_parent(m)
+        m.entry.zone == self.set.zone && !self.is_origin(m) && !self.is_parent(m)
     }
 
     fn seconds(&self, req: &Request) -> f64 {
@@ -759,23 +785,25 @@
         now >= m.held_until && (m.mark < MARK_TRUST || m.holds == 0 || m.out + m.fills == 0)
     }
 
+    /// Members of a role that the rules allow and that have not failed this request.
+    fn able(&self, now: Micros, o: &Open, role: impl Fn(&Member) -> bool) -> Vec<&Member> {
+        let able = |m: &&Member| {
+            role(m)
+                && self.may_send(now, m, o.req.class)
+                && self.same_group(o, m)
+                && !o.avoid.contains(&m.entry.id)
+        };
+        self.members.values().filter(able).collect()
+    }
+
     fn choose(&self, now: Micros, o: &Open) -> Choice {
         let c = &self.set.classes[o.req.class];
         if c.uncacheable {
             return self.choose_uncacheable(now, o);
         }
-        let caches = |m: &&Member| self.is_cache(m) && m.entry.zone == self.set.zone;
-        let ready: Vec<&Member> = self
-            .members
-            .values()
-            .filter(caches)
-            .filter(|m| self.may_send(now, m, o.req.class) && self.same_group(o, m))
-            .collect();
-        let fit = |m: &&&Member| self.healthy(now, m) && !o.avoid.contains(&m.entry.id);
-        let mut order: Vec<&Member> = ready.iter().filter(fit).copied().collect();
-        if order.is_empty() {
-            // Everybody is held off or has failed this request: those this request has not tried come first.
-            order = ready.iter().filter(|m| !o.avoid.contains(&m.entry.id)).copied().collect();
+        let mut order = self.able(now, o, |m| self.is_cache(m));
+        if order.iter().any(|m| self.healthy(now, m)) {
+            order.retain(|m| self.healthy(now, m));
         }
         if order.is_empty() {
             return Choice::Wait;
@@ -804,15 +832,11 @@
 
     /// The object's parent: hash order over all that are listed, then the origin.
     fn choose_source(&self, now: Micros, o: &Open) -> Option<MemberId> {
-        let usable = |m: &&Member| self.may_send(now, m, o.req.class) && !o.avoid.contains(&m.entry.id);
-        let parents: Vec<&Member> =
-            self.members.values().filter(|m| self.is_parent(m)).filter(usable).collect();
+        let parents = self.able(now, o, |m| self.is_parent(m));
         let fit: Vec<&Member> = parents.iter().filter(|m| self.healthy(now, m)).copied().collect();
-        let origin = self.members.values().filter(|m| self.is_origin(m)).find(usable);
-        let parent = self.pick(o.req.object.0, &fit, |m| (m.fills, m.fills as f64));
-        parent
-            .or(origin.map(|m| m.entry.id))
-            .or_else(|| self.pick(o.req.object.0, &parents, |m| (m.fills, m.fills as f64)))
+        let origin = self.able(now, o, |m| self.is_origin(m)).first().map(|m| m.entry.id);
+        let pick = |from: &[&Member]| self.pick(o.req.object.0, from, |m| (m.fills, m.fills as f64));
+        pick(&fit).or(origin).or_else(|| pick(&parents))
     }
 
     /// Rendezvous order of the object, skipping members over the bound; all over it: the least loaded.
@@ -840,36 +864,19 @@
 
     /// Runs at the origin: straight there where allowed, else through a cache that names it as the source.
     fn choose_uncacheable(&self, now: Micros, o: &Open) -> Choice {
-        let usable = |m: &&Member| {
-            self.may_send(now, m, o.req.class) && self.same_group(o, m) && !o.avoid.contains(&m.entry.id)
+        let fit = |mut from: Vec<&Member>| {
+            from.retain(|m| self.healthy(now, m));
+            self.pick(o.req.object.0, &from, |m| (m.out + m.fills, (m.out + m.fills) as f64))
         };
-        let origin = self.members.values().filter(|m| self.is_origin(m)).find(usable);
-        let parents: Vec<&Member> = self
-            .members
-            .values()
-            .filter(|m| self.is_parent(m))
-            .filter(usable)
-            .filter(|m| self.healthy(now, m))
-            .collect();
-        let caches: Vec<&Member> = self
-            .members
-            .values()
-            .filter(|m| self.is_cache(m))
-            .filter(usable)
-            .filter(|m| m.entry.zone == self.set.zone && self.healthy(now, m))
-            .collect();
-        let parent = self.pick(o.req.object.0, &parents, |m| (m.fills, m.fills as f64));
-        match (origin, parent) {
-            (Some(origin), _) if self.set.straight => Choice::Send(origin.entry.id, None),
-            (_, Some(parent)) if self.set.straight => Choice::Send(parent, Some(parent)),
-            (origin, parent) => {
-                let source = origin.map(|m| m.entry.id).or(parent);
-                let cache = self.pick(o.req.object.0, &caches, |m| (m.out, m.out_kb));
-                match (cache, source) {
-                    (Some(cache), Some(source)) => Choice::Send(cache, Some(source)),
-                    _ => Choice::Wait,
-                }
-            }
+        let origin = self.able(now, o, |m| self.is_origin(m)).first().map(|m| m.entry.id);
+        let parent = fit(self.able(now, o, |m| self.is_parent(m)));
+        if self.set.straight {
+            let parent = parent.map(|p| Choice::Send(p, Some(p)));
+            return origin.map(|m| Choice::Send(m, None)).or(parent).unwrap_or(Choice::Wait);
+        }
+        match (fit(self.able(now, o, |m| self.is_cache(m))), origin.or(parent)) {
+            (Some(cache), Some(source)) => Choice::Send(cache, Some(source)),
+            _ => Choice::Wait,
         }
     }
 }
@@ -883,7 +890,7 @@
     Refuse,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Blame {
     Nobody,
     Cache,
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -202,3 +202,53 @@
     assert!(s.wait(50 * MS).is_empty());
     assert_eq!(s.wait(150 * MS).len(), 1);
 }
+
+#[test]
+fn a_source_whose_fills_never_come_is_left_and_the_held_copy_answers() {
+    let mut s = Stage::new();
+    let bound = s.ask(PAGE, "a").remove(0);
+    let mut stuck = vec![bound.clone()];
+    for i in 0..60 {
+        let sent = s.ask(PAGE, &format!("o{i}")).remove(0);
+        if sent.source() == bound.source() && stuck.len() < 6 {
+            stuck.push(sent);
+        } else {
+            s.end(&sent, Status::Ok, Note::Hit);
+        }
+    }
+    let mut left = false;
+    for i in 0..40 {
+        // The caches are well: hits go on.
+        for j in 0..6 {
+            for hit in s.ask(PAGE, &format!("h{i}-{j}")) {
+                s.end(&hit, Status::Ok, Note::Hit);
+            }
+        }
+        s.wait(25 * MS);
+        left |= s.last.iter().any(|a| matches!(a, Action::Cancel { .. }));
+        if left {
+            break;
+        }
+    }
+    assert!(left && s.now < T0 + 800 * MS);
+    let stale = s.end(&bound, Status::Cancelled, Note::Untold).remove(0);
+    assert_eq!((stale.member, stale.source()), (bound.member, bound.member));
+    assert_ne!(s.ask(PAGE, "a")[0].source(), bound.source());
+}
+
+#[test]
+fn with_no_room_for_a_fill_a_request_looks_at_the_held_copy() {
+    let mut s = Stage::new();
+    let looked = (0..80).flat_map(|_| s.ask(PAGE, "a")).find(|sent| sent.source() == sent.member).unwrap();
+    assert_eq!((looked.fetch().age, looked.fetch().keep), (32 * S, 0));
+    assert!(s.end(&looked, Status::Miss, Note::Untold).is_empty(), "no second look");
+    assert!(matches!(s.finals()[..], [Action::Refuse { .. }]));
+}
+
+#[test]
+fn a_single_broken_connection_does_not_close_a_cache() {
+    let mut s = Stage::new();
+    let sent = s.ask(VIDEO, "a").remove(0);
+    s.end(&sent, Status::Reset, Note::Untold);
+    assert_eq!(s.ask(VIDEO, "a")[0].member, sent.member);
+}
