Untold sizes: lateness is judged by half the mean sending time

Cause: an aim grows with the object's own sending time; judged by the mean, most objects, which are smaller, could be late unseen, and limits settled too high. Told from a slow source by all locations alike and no errors. May refuse early where most objects are large.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,6 +54,8 @@
 const MEAN_GUESS: f64 = 5.0;
 /// Where sizes are untold the mean is of quick answers: a cold member's budget is charged this much more.
 const UNTOLD_COST: f64 = 1.5;
+/// ... and lateness is judged by this share of it: most objects are smaller than the mean.
+const UNTOLD_SIZE: f64 = 0.5;
 /// Purges are remembered this much longer than copies from before them last.
 const PURGE_MARGIN: Micros = 1_000 * MS;
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
@@ -451,8 +453,9 @@
                 self.learn(class, e.elapsed as f64 / 1e6);
             }
         }
+        let size = seconds * if kb.is_some() { 1.0 } else { UNTOLD_SIZE };
         let class_aim =
-            self.set.classes[class].aim as f64 + self.set.classes[class].aim_stretch * 1e6 * seconds;
+            self.set.classes[class].aim as f64 + self.set.classes[class].aim_stretch * 1e6 * size;
         let late = e.elapsed as f64 > class_aim || matches!(e.status, Status::Full | Status::Timeout);
         if !matches!(e.status, Status::Miss | Status::ConnectFailed | Status::Moot | Status::Cancelled) {
             self.adapt(out.member, late);
