Members held off for errors are used when the others have no room

Told from dead or silent members, which stay held off, by their errors coming quickly. Also for partial fast errors; costs an attempt where a member fails everything.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,6 +80,8 @@
     /// Requests it may have under way before new ones go elsewhere or are refused.
     limit: f64,
     holds: u32,
+    /// Held off for refused connections or silence: nothing to hope for until a trial is answered.
+    mute: bool,
     held_until: Micros,
     /// As a source, when it last failed.
     failed_at: Option<Micros>,
@@ -238,6 +240,7 @@
                         mark: 0.0,
                         limit: (LIMIT_FIRST * entry.weight / self.sharing).max(1.0),
                         holds: 0,
+                        mute: false,
                         held_until: 0,
                         failed_at: None,
                         spent: VecDeque::new(),
@@ -589,6 +592,7 @@
     fn good(&mut self, id: MemberId, step: f64) {
         let Some(m) = self.members.get_mut(&id) else { return };
         m.mark *= 1.0 - step;
+        m.mute = false;
         if m.mark < MARK_TRUST / 2.0 {
             m.holds = 0;
         }
@@ -598,6 +602,7 @@
     fn bad(&mut self, now: Micros, id: MemberId, least: f64) {
         let Some(m) = self.members.get_mut(&id) else { return };
         m.mark = (m.mark * (1.0 - MARK_STEP) + MARK_STEP).max(least);
+        m.mute |= least >= MARK_HARD;
         if m.mark >= MARK_HOLD && now >= m.held_until {
             m.held_until = now + (HOLD_FIRST << m.holds.min(8)).min(HOLD_LONGEST);
             m.holds += 1;
@@ -805,6 +810,9 @@
             return self.choose_uncacheable(now, o);
         }
         let mut order = self.able(now, o, |m| self.is_cache(m));
+        // Held off for errors, yet it answers some: better than refusing when the others have no room.
+        let failing: Vec<&Member> =
+            order.iter().filter(|m| !m.mute && !self.healthy(now, m)).copied().collect();
         if order.iter().any(|m| self.healthy(now, m)) {
             order.retain(|m| self.healthy(now, m));
         }
@@ -813,7 +821,10 @@
         }
         let stretch = self.stretch(&o.req);
         let room = |m: &&Member| (m.out.saturating_sub(m.looks) as f64) < m.limit * stretch;
-        let open: Vec<&Member> = order.iter().filter(|m| room(m)).copied().collect();
+        let mut open: Vec<&Member> = order.iter().filter(|m| room(m)).copied().collect();
+        if open.is_empty() {
+            open = failing.into_iter().filter(room).collect();
+        }
         let Some(cache) = self.pick(copy_key(&o.req), &open, |m| (m.out, m.out_kb)) else {
             // No room for what may need a fill: a copy held at home still answers, a miss comes back at once.
             order.retain(|m| (m.looks as f64) < LOOKS * m.entry.weight / self.sharing);
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -252,3 +252,26 @@
     s.end(&sent, Status::Reset, Note::Untold);
     assert_eq!(s.ask(VIDEO, "a")[0].member, sent.member);
 }
+
+#[test]
+fn a_cache_held_off_for_errors_is_used_before_requests_are_refused() {
+    let mut s = Stage::new();
+    let failing = s.ask(VIDEO, "a").remove(0).member;
+    let mut held = false;
+    for i in 0..400 {
+        for sent in s.ask(VIDEO, &format!("o{i}")) {
+            let bad = sent.member == failing;
+            let (status, note) = if bad { (Status::Error, Note::Untold) } else { (Status::Ok, Note::Hit) };
+            for again in s.end(&sent, status, note) {
+                s.end(&again, Status::Ok, Note::Hit);
+            }
+        }
+        held = s.ask(VIDEO, "a")[0].member != failing;
+        if held {
+            break;
+        }
+    }
+    assert!(held, "errors hold it off");
+    let used = (0..120).flat_map(|i| s.ask(VIDEO, &format!("n{i}"))).any(|sent| sent.member == failing);
+    assert!(used, "the others have no room");
+}
