--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,7 +25,7 @@
 /// Looks at held copies that a full cache takes besides, for each unit of weight.
 const LOOKS: f64 = 1.0;
 /// A request worth more, or less, for its sending time than most may find the limit stretched by so much.
-const LIMIT_STRETCH: (f64, f64) = (0.7, 1.5);
+const LIMIT_STRETCH: (f64, f64) = (0.5, 2.0);
 /// Refused by so many members for want of room, a request is refused: more tries only add to the crowd.
 const FULL_MOST: u32 = 2;
 /// An uncacheable request turned away tries again after this, then twice as long.
