--- a/src/interface.rs
+++ b/src/interface.rs
@@ -289,12 +289,6 @@
         group: u64,
         age: Micros,
     },
-    /// What a probe found, after how long.
-    Probed {
-        member: MemberId,
-        ok: bool,
-        elapsed: Micros,
-    },
 }
 
 /// What a cache does if it lacks the object, and which copies are good enough.
@@ -342,7 +336,4 @@
         after: Micros,
         token: u64,
     },
-    Probe {
-        member: MemberId,
-    },
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -201,7 +201,6 @@
             Event::Hangup(id) => self.close(id, act),
             Event::Timer(_) => self.on_timer(now, act),
             Event::Purge { object, group, age } => self.on_purge(now, object, group, age),
-            Event::Probed { .. } => {}
         }
         if !self.ticking && !self.open.is_empty() {
             self.ticking = true;
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -62,9 +62,8 @@
             }
             wire::Inbound::Reminder(r) => self.tell(r.dispatcher, Event::Timer(r.cookie))?,
             wire::Inbound::Voided(v) => self.tell(v.dispatcher, translate::purge(v))?,
-            wire::Inbound::Echo(e) => self.tell(e.dispatcher, translate::probed(e))?,
-            // Peer messages and the start of streams carry nothing that a router uses.
-            wire::Inbound::NeighbourSays(i) | wire::Inbound::Begun(i) => {
+            // Peer messages, probe results and the start of streams carry nothing that a router uses.
+            wire::Inbound::NeighbourSays(i) | wire::Inbound::Echo(i) | wire::Inbound::Begun(i) => {
                 if !self.instances.contains_key(&i.dispatcher) {
                     return Err(format!("message for unknown Dispatcher {}", i.dispatcher));
                 }
--- a/wirehost/src/translate.rs
+++ b/wirehost/src/translate.rs
@@ -161,14 +161,6 @@
     }
 }
 
-pub fn probed(e: wire::Echo) -> Event {
-    Event::Probed {
-        member: MemberId::named(&e.host),
-        ok: e.state_code.as_deref() == Some("pass"),
-        elapsed: told(e.elapsed_ms),
-    }
-}
-
 pub fn outcome(o: wire::Ended) -> Result<Event, String> {
     let status = match o.state_code.as_str() {
         "pass" => Status::Ok,
@@ -255,8 +247,5 @@
             after_ms: millis(*after),
             cookie: *token,
         }),
-        Action::Probe { member } => {
-            wire::Outbound::Inspect(wire::Inspect { dispatcher, host: host(member)? })
-        }
     })
 }
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -13,7 +13,7 @@
     Kill(Instance),
     NeighbourSays(Instance),
     Voided(Voided),
-    Echo(Echo),
+    Echo(Instance),
     Hangup(Hangup),
     Begun(Instance),
     Ended(Ended),
@@ -51,7 +51,6 @@
     }
     Reminder { need { dispatcher: u64, cookie: u64 } may {} }
     Voided { need { dispatcher: u64 } may { group: u64, how_old_ms: f64, content_id: String } }
-    Echo { need { dispatcher: u64, host: String } may { state_code: String, elapsed_ms: f64 } }
     Hangup { need { dispatcher: u64, req: u64 } may {} }
     Ended {
         need { dispatcher: u64, req: u64, state_code: String, host: String }
@@ -95,7 +94,6 @@
     DropRequest(Final),
     DropAttempt(DropAttempt),
     Schedule(Schedule),
-    Inspect(Inspect<'a>),
     Eor(Eor),
 }
 
@@ -119,7 +117,6 @@
     Final { has { dispatcher: u64, req: u64 } may { come_back_ms: f64 } }
     DropAttempt { has { dispatcher: u64, req: u64, round_no: u32 } may {} }
     Schedule { has { dispatcher: u64, after_ms: f64, cookie: u64 } may {} }
-    Inspect<'a> { has { dispatcher: u64, host: &'a str } may {} }
 }
 
 #[derive(Debug, Serialize)]
