Refused clients are told to come back after 100 ms

Cause: a client's aim runs from its first try; after 300 ms its retry was late already. More tries a request where overload lasts.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,8 +30,8 @@
 const FULL_MOST: u32 = 2;
 /// An uncacheable request turned away tries again after this, then twice as long.
 const BACK_OFF: Micros = 80 * MS;
-/// A client told to hold off comes back after this; the backlog is then another one.
-const HOLD_OFF: Micros = 300 * MS;
+/// A client told to hold off comes back after this: soon, since its aim runs from its first try.
+const HOLD_OFF: Micros = 100 * MS;
 /// An answer is due after this plus `DUE_STRETCH` times its sending time.
 const DUE: Micros = 300 * MS;
 const DUE_STRETCH: f64 = 2.0;
