--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,6 +14,9 @@
 const BOUND: f64 = 1.25;
 /// ... but below this many requests for each unit of weight nothing is skipped: links are not full yet.
 const BOUND_FLOOR: f64 = 0.6;
+/// One router of many sees a thin, uneven part of a member's load: so many standard deviations over its even
+/// share may be chance and cost nothing.
+const CHANCE: f64 = 2.0;
 /// Requests that a cache takes at once for each unit of weight: at first, at least, at most.
 const LIMIT_FIRST: f64 = 2.0;
 const LIMIT_LEAST: f64 = 0.5;
@@ -60,7 +63,10 @@
 const PURGE_MARGIN: Micros = 1_000 * MS;
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
 const KEY_MARGIN: Micros = 200 * MS;
-/// Copies remembered as asked for before; two such tables are held.
+/// All copies are kept at one rank, so that the least lately used leaves first: one router of many takes for new
+/// what the others have asked for long since, and would lower its rank.
+const KEEP: u8 = 2;
+/// Copies whose cache is remembered; two such tables are held.
 const SEEN_MOST: usize = 50_000;
 
 #[derive(Debug, Clone)]
@@ -73,9 +79,8 @@
     looks: u32,
     /// Requests under way that name it as the source.
     fills: u32,
-    /// Last word from it, and last fill seen to come from it.
+    /// Last word from it.
     heard: Micros,
-    filled: Micros,
     mark: f64,
     /// Requests it may have under way before new ones go elsewhere or are refused.
     limit: f64,
@@ -139,7 +144,7 @@
     asked: (f64, f64),
     object_purges: BTreeMap<ObjectId, Micros>,
     group_purges: BTreeMap<u64, Micros>,
-    /// Copies asked for before and the cache that served each; the older table goes when the newer is full.
+    /// Copies and the cache that served each; the older table goes when the newer is full.
     seen: [BTreeMap<(ObjectId, u64), MemberId>; 2],
 }
 
@@ -160,6 +165,12 @@
     -weight / u.max(1e-12).ln().min(-1e-12)
 }
 
+/// One router's part of what `sharing` of them may have under way together: the even share and room for chance.
+fn part(whole: f64, sharing: f64) -> f64 {
+    let even = whole / sharing;
+    even + CHANCE * (even * (1.0 - 1.0 / sharing)).sqrt()
+}
+
 /// Sending time of a request: by its size where told, else its class's mean.
 fn seconds_of(set: &Settings, mean: &[f64], req: &Request) -> f64 {
     match req.kb {
@@ -235,9 +246,8 @@
                         looks: 0,
                         fills: 0,
                         heard: 0,
-                        filled: 0,
                         mark: 0.0,
-                        limit: (LIMIT_FIRST * entry.weight / self.sharing).max(1.0),
+                        limit: LIMIT_FIRST * entry.weight,
                         holds: 0,
                         mute: false,
                         held_until: 0,
@@ -385,7 +395,7 @@
             };
             Fetch {
                 source,
-                keep: if c.uncacheable || stale_try { 0 } else { self.rank(&o.req) },
+                keep: if c.uncacheable || stale_try { 0 } else { KEEP },
                 age,
                 // A fill begun before a purge would hand on the purged copy.
                 join: self.set.joins && purge_limit.is_none() && !c.uncacheable,
@@ -496,10 +506,10 @@
     /// Late answers at a cache, whatever slows it (itself, its source, the link in): fewer at once.
     fn adapt(&mut self, id: MemberId, late: bool) {
         let Some(m) = self.members.get_mut(&id) else { return };
-        let w = m.entry.weight / self.sharing;
+        let w = m.entry.weight;
         if late {
-            m.limit = (m.limit * (1.0 - LIMIT_DOWN)).max(LIMIT_LEAST * w).max(1.0);
-        } else if m.out as f64 + 1.0 > m.limit / 2.0 {
+            m.limit = (m.limit * (1.0 - LIMIT_DOWN)).max(LIMIT_LEAST * w);
+        } else if m.out as f64 + 1.0 > m.limit / self.sharing / 2.0 {
             m.limit = (m.limit * (1.0 + LIMIT_UP)).min(LIMIT_MOST * w);
         }
     }
@@ -522,12 +532,7 @@
             (Status::Ok, note) => {
                 self.good(out.member, MARK_STEP);
                 match (note, source) {
-                    (Note::Filled | Note::FilledByOrigin, Some(s)) => {
-                        self.good(s, MARK_STEP);
-                        if let Some(m) = self.members.get_mut(&s) {
-                            m.filled = now;
-                        }
-                    }
+                    (Note::Filled | Note::FilledByOrigin, Some(s)) => self.good(s, MARK_STEP),
                     // Untold, most answers are hits and say little of the source.
                     (Note::Untold, Some(s)) => self.good(s, MARK_STEP / 4.0),
                     _ => {}
@@ -567,8 +572,7 @@
                 Blame::Cache
             }
             (Status::Timeout, _) => {
-                let at = if quiet { Some(out.member) } else { source };
-                if let Some(at) = at {
+                if let Some(at) = if quiet { Some(out.member) } else { source } {
                     self.bad(now, at, 0.0);
                 }
                 if quiet {
@@ -618,57 +622,38 @@
         }
     }
 
-    /// A cache that takes work and answers nothing, or a source whose fills never come: several answers
-    /// overdue, no word since they were sent. Their requests are cancelled and go elsewhere.
+    /// A cache that takes work and answers nothing: several answers overdue, no word since they were sent. Their
+    /// requests are cancelled and go elsewhere. A source is not judged so: a full link looks the same.
     fn find_silent(&mut self, now: Micros, act: &mut Vec<Action>) {
-        let mut overdue: BTreeMap<(MemberId, Blame), usize> = BTreeMap::new();
+        let mut overdue: BTreeMap<MemberId, usize> = BTreeMap::new();
         for o in self.open.values() {
             for out in o.out.iter().filter(|out| out.cancelled.is_none()) {
                 let due = out.sent + DUE + (DUE_STRETCH * 1e6 * self.seconds(&o.req)) as Micros;
-                if now > due {
-                    if let Some(key) = self.silent_part(out) {
-                        *overdue.entry(key).or_default() += 1;
-                    }
+                let heard = self.members.get(&out.member).map_or(now, |m| m.heard);
+                if now > due && heard < out.sent {
+                    *overdue.entry(out.member).or_default() += 1;
                 }
             }
         }
-
-        for (&(id, blame), &count) in &overdue {
+        for (id, count) in overdue {
             let on_trial = self.members.get(&id).is_some_and(|m| m.mark >= MARK_TRUST);
-            let enough = if blame == Blame::Source { 2 * SILENT_COUNT } else { SILENT_COUNT };
-            if count >= enough || on_trial {
+            if count >= SILENT_COUNT || on_trial {
                 self.bad(now, id, MARK_HARD);
-                if blame == Blame::Source {
-                    self.source_down(now, id);
-                }
                 if self.set.may_cancel {
-                    self.cancel_all(id, blame, act);
+                    self.cancel_all(id, act);
                 }
             }
         }
     }
 
-    /// Whom an overdue attempt waits for: the cache if it has said nothing since, else the source likewise.
-    /// Untold, fills are not seen to arrive and a slow link would pass for a silent source.
-    fn silent_part(&self, out: &Out) -> Option<(MemberId, Blame)> {
-        if self.members.get(&out.member)?.heard < out.sent {
-            return Some((out.member, Blame::Cache));
-        }
-        let source = self.members.get(&out.source.filter(|s| *s != out.member)?)?;
-        (self.set.notes != Notes::None && source.filled < out.sent)
-            .then_some((source.entry.id, Blame::Source))
-    }
-
-    fn cancel_all(&mut self, id: MemberId, blame: Blame, act: &mut Vec<Action>) {
+    fn cancel_all(&mut self, id: MemberId, act: &mut Vec<Action>) {
         for (request, o) in self.open.iter_mut() {
             if self.set.classes[o.req.class].repeat == Repeat::Unsafe {
                 continue;
             }
-            for out in o.out.iter_mut().filter(|out| out.cancelled.is_none()) {
-                if (if blame == Blame::Cache { Some(out.member) } else { out.source }) == Some(id) {
-                    out.cancelled = Some(blame);
-                    act.push(Action::Cancel { request: *request, attempt: out.attempt });
-                }
+            for out in o.out.iter_mut().filter(|out| out.cancelled.is_none() && out.member == id) {
+                out.cancelled = Some(Blame::Cache);
+                act.push(Action::Cancel { request: *request, attempt: out.attempt });
             }
         }
     }
@@ -726,12 +711,6 @@
         }
     }
 
-    /// The rank a copy is kept at: first asked for, low; asked for again, above what was asked for once.
-    fn rank(&self, req: &Request) -> u8 {
-        let key = (req.object, req.part);
-        1 + self.seen.iter().any(|s| s.contains_key(&key)) as u8
-    }
-
     fn remember(&mut self, key: (ObjectId, u64), cache: MemberId) {
         if self.seen[0].len() >= SEEN_MOST {
             self.seen.swap(0, 1);
@@ -819,7 +798,9 @@
             return Choice::Wait;
         }
         let stretch = self.stretch(&o.req);
-        let room = |m: &&Member| (m.out.saturating_sub(m.looks) as f64) < m.limit * stretch;
+        let room = |m: &&Member| {
+            (m.out.saturating_sub(m.looks) as f64) < (m.limit * stretch / self.sharing).max(1.0)
+        };
         let mut open: Vec<&Member> = order.iter().filter(|m| room(m)).copied().collect();
         if open.is_empty() {
             open = failing.into_iter().filter(room).collect();
@@ -864,7 +845,7 @@
         let within = |m: &&&Member| {
             let (count, size) = load(m);
             let w = self.weight(m);
-            (count as f64) < BOUND_FLOOR * w / self.sharing || size <= BOUND * under_way * w / total
+            (count as f64) < part(BOUND_FLOOR * w, self.sharing) || size <= BOUND * under_way * w / total
         };
         let home = |a: &&&Member, b: &&&Member| {
             score(object, a.entry.id, self.weight(a)).total_cmp(&score(object, b.entry.id, self.weight(b)))
