--- a/src/logic.rs
+++ b/src/logic.rs
@@ -798,9 +798,11 @@
             return Choice::Wait;
         }
         let stretch = self.stretch(&o.req);
-        let room = |m: &&Member| {
-            (m.out.saturating_sub(m.looks) as f64) < (m.limit * stretch / self.sharing).max(1.0)
-        };
+        // The limits hold for the location as a whole: at one cache a router of many has room for chance.
+        let limit = |m: &Member| m.limit * stretch / self.sharing;
+        let busy = |m: &Member| m.out.saturating_sub(m.looks) as f64;
+        let spare = order.iter().map(|m| limit(m).max(1.0) - busy(m)).sum::<f64>() > 0.0;
+        let room = |m: &&Member| spare && busy(m) < part(m.limit * stretch, self.sharing);
         let mut open: Vec<&Member> = order.iter().filter(|m| room(m)).copied().collect();
         if open.is_empty() {
             open = failing.into_iter().filter(room).collect();
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -222,10 +222,13 @@
 #[test]
 fn one_router_of_many_does_not_take_chance_for_load() {
     let mut many = settings();
-    many.zones[1].routers = 8;
+    many.zones[1].routers = 12;
     let mut s = Stage::with(many, fleet());
     let home = s.ask(VIDEO, "a").remove(0).member;
     assert_eq!(s.ask(VIDEO, "a")[0].member, home, "a second request at once is chance");
+    let more = (0..40).flat_map(|i| s.ask(VIDEO, &format!("o{i}")));
+    let fills = more.filter(|sent| sent.source() != sent.member).count();
+    assert!((1..=2).contains(&fills), "{fills}: the location's room holds all the same");
 }
 
 #[test]
