--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,6 +135,8 @@
     pub zones: Vec<Zone>,
     /// Routers in all.
     pub routers: u32,
+    /// This router's number among them, from 0, where told.
+    pub me: Option<u32>,
     pub classes: Vec<Class>,
     /// Member kind of the parents, if there are any.
     pub parent_kind: Option<usize>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 //!     zone: 1,
 //!     zones: vec![Zone { routers: 0, hub: 0 }, Zone { routers: 1, hub: 0 }],
 //!     routers: 1,
+//!     me: Some(0),
 //!     classes: vec![Class {
 //!         aim: 300_000, aim_stretch: 2.0, deadline: 2_500_000, worth: 1.0, late_worth: 0.2,
 //!         repeat: Repeat::Safe, uncacheable: false, fresh: 12_000_000, grace: 20_000_000,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,9 +69,22 @@
 /// Copies whose cache is remembered; two such tables are held.
 const SEEN_MOST: usize = 50_000;
 
+/// What a process has shown of itself; void once another one has started in its place.
+#[derive(Debug, Clone, Default)]
+struct Health {
+    mark: f64,
+    holds: u32,
+    /// Held off for refused connections or silence: nothing to hope for until a trial is answered.
+    mute: bool,
+    held_until: Micros,
+    /// As a source, when it last failed.
+    failed_at: Option<Micros>,
+}
+
 #[derive(Debug, Clone)]
 struct Member {
     entry: MemberEntry,
+    health: Health,
     /// Requests under way at it, and their size.
     out: u32,
     out_kb: f64,
@@ -81,15 +94,8 @@
     fills: u32,
     /// Last word from it.
     heard: Micros,
-    mark: f64,
     /// Requests it may have under way before new ones go elsewhere or are refused.
     limit: f64,
-    holds: u32,
-    /// Held off for refused connections or silence: nothing to hope for until a trial is answered.
-    mute: bool,
-    held_until: Micros,
-    /// As a source, when it last failed.
-    failed_at: Option<Micros>,
     /// What was sent while it was cold: when, whose, sending time in seconds.
     spent: VecDeque<(Micros, RequestId, f64)>,
 }
@@ -137,8 +143,9 @@
     /// Mean sending time by class, seconds.
     mean: Vec<f64>,
     learned: Vec<u32>,
-    /// Routers that send to this location's caches.
+    /// Routers that send to this location's caches, and in all.
     sharing: f64,
+    routers: u64,
     sizes_told: bool,
     /// Worth asked for a second of sending time, lately: both as running means.
     asked: (f64, f64),
@@ -182,6 +189,11 @@
 impl Router {
     /// A router that knows nothing yet but its settings. The seed only spreads timers.
     pub fn new(settings: Settings, seed: u64) -> Self {
+        let told = |routers: u32| routers as u64;
+        let routers =
+            settings.zones.iter().map(|z| told(z.routers)).sum::<u64>().max(told(settings.routers));
+        let routers = routers.max(settings.me.map_or(0, told) + 1);
+        let here = settings.zones.get(settings.zone).map_or(0, |z| told(z.routers));
         let mean: Vec<f64> = settings.classes.iter().map(|c| c.aim as f64 / 1e6).collect();
         Self {
             rng: seed,
@@ -191,7 +203,9 @@
             parked: BTreeSet::new(),
             ticking: false,
             sizes_told: false,
-            sharing: settings.zones.get(settings.zone).map_or(1, |z| z.routers.max(1)) as f64,
+            // Counts that are missing or contradict each other: the largest is the safe one.
+            sharing: if here > 0 { here } else { routers } as f64,
+            routers,
             learned: vec![0; mean.len()],
             mean,
             asked: (0.0, 0.0),
@@ -234,27 +248,15 @@
             match self.members.get_mut(&entry.id) {
                 Some(m) => {
                     if entry.started != m.entry.started {
-                        // Another process: what was known of the old one's health is void.
-                        (m.mark, m.holds, m.held_until, m.failed_at) = (0.0, 0, 0, None);
+                        m.health = Health::default();
                     }
                     m.entry = entry;
                 }
                 None => {
-                    let m = Member {
-                        out: 0,
-                        out_kb: 0.0,
-                        looks: 0,
-                        fills: 0,
-                        heard: 0,
-                        mark: 0.0,
-                        limit: LIMIT_FIRST * entry.weight,
-                        holds: 0,
-                        mute: false,
-                        held_until: 0,
-                        failed_at: None,
-                        spent: VecDeque::new(),
-                        entry,
-                    };
+                    let (limit, health, spent) =
+                        (LIMIT_FIRST * entry.weight, Health::default(), VecDeque::new());
+                    let (out, out_kb, looks, fills, heard) = (0, 0.0, 0, 0, 0);
+                    let m = Member { entry, health, out, out_kb, looks, fills, heard, limit, spent };
                     self.members.insert(m.entry.id, m);
                 }
             }
@@ -545,7 +547,7 @@
                 let origin = self.origin().filter(|_| e.note == Note::OriginFailed);
                 if let Some(s) = origin.or(source) {
                     self.bad(now, s, if e.note == Note::SourceUnreachable { MARK_HARD } else { 0.0 });
-                    self.source_down(now, s);
+                    self.members.entry(s).and_modify(|m| m.health.failed_at = Some(now));
                 }
                 Blame::Source
             }
@@ -562,7 +564,7 @@
             (Status::Error, _) if self.set.notes == Notes::None && source.is_some() => {
                 if let Some(s) = source {
                     self.bad(now, s, 0.0);
-                    self.source_down(now, s);
+                    self.members.entry(s).and_modify(|m| m.health.failed_at = Some(now));
                 }
                 self.bad(now, out.member, 0.0);
                 Blame::Source
@@ -586,29 +588,23 @@
         }
     }
 
-    fn source_down(&mut self, now: Micros, id: MemberId) {
-        if let Some(m) = self.members.get_mut(&id) {
-            m.failed_at = Some(now);
-        }
-    }
-
     fn good(&mut self, id: MemberId, step: f64) {
         let Some(m) = self.members.get_mut(&id) else { return };
-        m.mark *= 1.0 - step;
-        m.mute = false;
-        if m.mark < MARK_TRUST / 2.0 {
-            m.holds = 0;
+        m.health.mark *= 1.0 - step;
+        m.health.mute = false;
+        if m.health.mark < MARK_TRUST / 2.0 {
+            m.health.holds = 0;
         }
     }
 
     /// Moves the failure mark, at least to `least`; over the line the member is held off, longer each time.
     fn bad(&mut self, now: Micros, id: MemberId, least: f64) {
         let Some(m) = self.members.get_mut(&id) else { return };
-        m.mark = (m.mark * (1.0 - MARK_STEP) + MARK_STEP).max(least);
-        m.mute |= least >= MARK_HARD;
-        if m.mark >= MARK_HOLD && now >= m.held_until {
-            m.held_until = now + (HOLD_FIRST << m.holds.min(8)).min(HOLD_LONGEST);
-            m.holds += 1;
+        m.health.mark = (m.health.mark * (1.0 - MARK_STEP) + MARK_STEP).max(least);
+        m.health.mute |= least >= MARK_HARD;
+        if m.health.mark >= MARK_HOLD && now >= m.health.held_until {
+            m.health.held_until = now + (HOLD_FIRST << m.health.holds.min(8)).min(HOLD_LONGEST);
+            m.health.holds += 1;
         }
     }
 
@@ -636,7 +632,7 @@
             }
         }
         for (id, count) in overdue {
-            let on_trial = self.members.get(&id).is_some_and(|m| m.mark >= MARK_TRUST);
+            let on_trial = self.members.get(&id).is_some_and(|m| m.health.mark >= MARK_TRUST);
             if count >= SILENT_COUNT || on_trial {
                 self.bad(now, id, MARK_HARD);
                 if self.set.may_cancel {
@@ -730,7 +726,7 @@
     }
 
     fn source_failed(&self, now: Micros, id: MemberId) -> bool {
-        let failed_at = self.members.get(&id).and_then(|m| m.failed_at);
+        let failed_at = self.members.get(&id).and_then(|m| m.health.failed_at);
         failed_at.is_some_and(|at| now < at + STALE_WINDOW)
     }
 
@@ -739,15 +735,14 @@
         m.entry.state == MemberState::Ready && self.cold_room(now, m, class)
     }
 
-    /// A cold member takes only so much in any window: the multiple of what it can do at the window's start,
-    /// this router's part of it. A router that has just started knows nothing of its last window.
+    /// A cold member takes only so much in any window: the multiple of what it can do at the window's start. Too
+    /// little for a request of every router goes to some, by their numbers; the caches' routers take even parts.
+    /// A router that has just started knows nothing of its last window.
     fn cold_room(&self, now: Micros, m: &Member, class: usize) -> bool {
-        let (rule, sharing) = match (self.is_parent(m), self.is_origin(m)) {
-            (_, true) => return true,
-            (true, _) => (&self.set.cold_parent, self.set.routers.max(1) as f64),
-            _ => (&self.set.cold_cache, self.sharing),
-        };
-        if m.entry.started == 0 || now >= m.entry.started + rule.warm_within + rule.window {
+        let parent = self.is_parent(m);
+        let rule = if parent { &self.set.cold_parent } else { &self.set.cold_cache };
+        let warm_at = m.entry.started + rule.warm_within + rule.window;
+        if self.is_origin(m) || m.entry.started == 0 || now >= warm_at {
             return true;
         }
         if now < self.born.unwrap_or(now) + rule.window {
@@ -756,9 +751,23 @@
         let from = now.saturating_sub(rule.window);
         let warm = from.saturating_sub(m.entry.started) as f64 / rule.warm_within.max(1) as f64;
         let share = rule.start_share + (1.0 - rule.start_share) * warm.min(1.0);
-        let budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
+        let mut budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
+        if parent {
+            let dearest = (0..self.mean.len()).map(|c| self.cost(c)).fold(0.0, f64::max);
+            let some = ((budget / dearest.max(1e-6)) as u64).clamp(1, self.routers);
+            let turn = self
+                .set
+                .me
+                .map_or(self.routers, |me| (me as u64 + m.entry.id.0 % self.routers) % self.routers);
+            if turn >= some && some < self.routers {
+                return false;
+            }
+            budget /= some as f64;
+        } else {
+            budget /= self.sharing;
+        }
         let spent: f64 = m.spent.iter().rev().take_while(|s| s.0 > from).map(|s| s.2).sum();
-        spent + self.cost(class) <= budget / sharing
+        spent + self.cost(class) <= budget
     }
 
     /// What one request costs a cold member.
@@ -768,7 +777,8 @@
 
     /// Not held off for failures; just after a hold one request at a time tries it.
     fn healthy(&self, now: Micros, m: &Member) -> bool {
-        now >= m.held_until && (m.mark < MARK_TRUST || m.holds == 0 || m.out + m.fills == 0)
+        now >= m.health.held_until
+            && (m.health.mark < MARK_TRUST || m.health.holds == 0 || m.out + m.fills == 0)
     }
 
     /// Members of a role that the rules allow and that have not failed this request.
@@ -790,7 +800,7 @@
         let mut order = self.able(now, o, |m| self.is_cache(m));
         // Held off for errors, yet it answers some: better than refusing when the others have no room.
         let failing: Vec<&Member> =
-            order.iter().filter(|m| !m.mute && !self.healthy(now, m)).copied().collect();
+            order.iter().filter(|m| !m.health.mute && !self.healthy(now, m)).copied().collect();
         if order.iter().any(|m| self.healthy(now, m)) {
             order.retain(|m| self.healthy(now, m));
         }
@@ -831,7 +841,7 @@
         let parents = self.able(now, o, |m| self.is_parent(m));
         let fit: Vec<&Member> = parents.iter().filter(|m| self.healthy(now, m)).copied().collect();
         let origin = self.able(now, o, |m| self.is_origin(m)).first().map(|m| m.entry.id);
-        let pick = |from: &[&Member]| self.pick(o.req.object.0, from, |m| (m.fills, m.fills as f64));
+        let pick = |from: &[&Member]| self.pick(copy_key(&o.req), from, |m| (m.fills, m.fills as f64));
         pick(&fit).or(origin).or_else(|| pick(&parents))
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,6 +33,7 @@
         zone: 1,
         zones: vec![Zone { routers: 0, hub: 0 }, Zone { routers: 1, hub: 0 }],
         routers: 2,
+        me: Some(0),
         classes: vec![
             class(Repeat::Safe, 0, 0, false),
             class(Repeat::Safe, 12 * S, 20 * S, false),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -222,3 +222,53 @@
     let stale = s.end(&sent, Status::Error, Note::SourceUnreachable).remove(0);
     assert_eq!((stale.fetch().age, stale.source()), (700 * MS, stale.member));
 }
+
+/// Sends from `count` routers, all of one location, to one cold member within its window, in seconds of sending.
+fn pushed_by_all(count: u32, kind: usize) -> f64 {
+    let cold = MemberId::named(["c1", "p1"][kind]);
+    let mut sum = 0.0;
+    for me in 0..count {
+        let mut set = settings();
+        (set.routers, set.me, set.zones[1].routers) = (count, Some(me), count);
+        let mut s = Stage::with(set, fleet());
+        s.now += 10 * S;
+        let mut entry = entry(["c1", "p1"][kind], kind);
+        (entry.started, entry.weight) = (s.now, 60.0);
+        s.update(vec![entry]);
+        s.now += S;
+        for i in 0..200 {
+            for sent in s.ask(VIDEO, &format!("push{i}")) {
+                sum += 0.05 * (if kind == 1 { sent.source() } else { sent.member } == cold) as u8 as f64;
+                s.end(&sent, Status::Ok, Note::Filled);
+            }
+            s.now += 10 * MS;
+        }
+    }
+    sum
+}
+
+#[test]
+fn many_routers_together_use_a_cold_member_and_do_not_push_it_over() {
+    for count in [3, 40, 200] {
+        let (cache, parent) = (pushed_by_all(count, 0), pushed_by_all(count, 1));
+        // Two windows' starts lie within these two seconds; the later one is warmer.
+        assert!(cache <= 2.0 * 0.44 * 60.0 * 2.0, "{count}: {cache}");
+        assert!(parent <= 2.0 * 0.24 * 60.0 * 2.0, "{count}: {parent}");
+        assert!(cache > 1.0 && parent > 1.0, "{count}: {cache} {parent}");
+    }
+}
+
+#[test]
+fn counts_that_contradict_each_other_leave_a_cold_parent_alone() {
+    for (routers, me, here) in [(0, Some(500), 2), (0, None, 400), (3, Some(499), 0)] {
+        let mut set = settings();
+        (set.routers, set.me, set.zones[1].routers) = (routers, me, here);
+        let mut s = Stage::with(set, fleet());
+        let mut cold = entry("p1", 1);
+        s.now += 10 * S;
+        cold.started = s.now;
+        s.update(vec![cold.clone()]);
+        // One of some five hundred: two seconds' budget is 1.7 s of sending for all of them.
+        assert!(pushed(&mut s, 400, cold.id, true) <= 2.0 * 0.05, "{routers} {me:?} {here}");
+    }
+}
--- a/wirehost/src/translate.rs
+++ b/wirehost/src/translate.rs
@@ -61,6 +61,7 @@
             .map(|(i, _)| Zone { routers: at(&f.instances_by_zone, i), hub: at(&f.zone_hub, i) })
             .collect(),
         routers: c.balancers.unwrap_or_default(),
+        me: c.me,
         classes,
         parent_kind: kind(f.second_tier_kind),
         origin_kind: kind(f.master_kind),
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -58,7 +58,7 @@
     }
     Config {
         need { rules: Rules, family_info: FamilyInfo }
-        may { allowed: Allowed, balancers: u32, classes: Vec<Class>, weight_source: String, zone: usize,
+        may { allowed: Allowed, balancers: u32, me: u32, classes: Vec<Class>, weight_source: String, zone: usize,
               zones: Vec<String> }
     }
     Rules {
