--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,8 +12,8 @@
 const STALE_WINDOW: Micros = 10_000 * MS;
 /// A member may have this many times the location's mean under way, for its weight, before it is skipped.
 const BOUND: f64 = 1.25;
-/// ... but below this many requests for each unit of weight nothing is skipped: links are not full yet.
-const BOUND_FLOOR: f64 = 0.6;
+/// ... but below this many requests for each unit of weight nothing is skipped: its link is not full yet.
+const BOUND_FLOOR: f64 = 1.0;
 /// One router of many sees a thin, uneven part of a member's load: so many standard deviations over its even
 /// share may be chance and cost nothing.
 const CHANCE: f64 = 2.0;
