--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,8 @@
 const LOOKS: f64 = 1.0;
 /// A request worth more, or less, for its sending time than most may find the limit stretched by so much.
 const LIMIT_STRETCH: (f64, f64) = (0.5, 2.0);
+/// A refusal that takes longer than this came from further off than a cache of the own location.
+const NEAR: Micros = 5 * MS;
 /// Refused by so many members for want of room, a request is refused: more tries only add to the crowd.
 const FULL_MOST: u32 = 2;
 /// An uncacheable request turned away tries again after this, then twice as long.
@@ -137,7 +139,7 @@
     rng: u64,
     members: BTreeMap<MemberId, Member>,
     open: BTreeMap<RequestId, Open>,
-    /// Requests with nothing under way, waiting for somebody to send to.
+    /// Uncacheable requests with nothing under way, waiting for somebody to send to.
     parked: BTreeSet<RequestId>,
     ticking: bool,
     /// Mean sending time by class, seconds.
@@ -530,6 +532,7 @@
                 m.heard = now;
             }
         }
+        let error = e.status == Status::Error;
         match (e.status, e.note) {
             (Status::Ok, note) => {
                 self.good(out.member, MARK_STEP);
@@ -551,6 +554,19 @@
                 }
                 Blame::Source
             }
+            // Nothing told: an error, or a refusal from afar, counts against the source that was named.
+            (Status::Error | Status::Full, Note::Untold)
+                if source.is_some() && self.set.notes == Notes::None && (error || e.elapsed > NEAR) =>
+            {
+                if let Some(s) = source {
+                    self.bad(now, s, 0.0);
+                    self.members.entry(s).and_modify(|m| m.health.failed_at = Some(now));
+                }
+                if error {
+                    self.bad(now, out.member, 0.0);
+                }
+                Blame::Source
+            }
             (Status::Full, _) | (_, Note::NoFillPlace) => Blame::Cache,
             (Status::ConnectFailed, _) => {
                 self.bad(now, out.member, MARK_HARD);
@@ -561,27 +577,17 @@
                 self.bad(now, out.member, 0.0);
                 Blame::Cache
             }
-            (Status::Error, _) if self.set.notes == Notes::None && source.is_some() => {
-                if let Some(s) = source {
-                    self.bad(now, s, 0.0);
-                    self.members.entry(s).and_modify(|m| m.health.failed_at = Some(now));
-                }
-                self.bad(now, out.member, 0.0);
-                Blame::Source
-            }
             (Status::Error, _) => {
                 self.bad(now, out.member, 0.0);
                 Blame::Cache
             }
             (Status::Timeout, _) => {
-                if let Some(at) = if quiet { Some(out.member) } else { source } {
+                let (at, blame) =
+                    if quiet { (Some(out.member), Blame::Cache) } else { (source, Blame::Source) };
+                if let Some(at) = at {
                     self.bad(now, at, 0.0);
                 }
-                if quiet {
-                    Blame::Cache
-                } else {
-                    Blame::Source
-                }
+                blame
             }
             (Status::Cancelled, _) => out.cancelled.unwrap_or(Blame::Cache),
             (Status::Moot, _) => Blame::Nobody,
@@ -798,22 +804,18 @@
             return self.choose_uncacheable(now, o);
         }
         let mut order = self.able(now, o, |m| self.is_cache(m));
-        // Held off for errors, yet it answers some: better than refusing when the others have no room.
+        // Held off for errors, yet it answers some: better than refusing when the others have no room. Dead or
+        // silent ones only spend attempts: with no others the client comes back when more is known.
         let failing: Vec<&Member> =
             order.iter().filter(|m| !m.health.mute && !self.healthy(now, m)).copied().collect();
-        if order.iter().any(|m| self.healthy(now, m)) {
-            order.retain(|m| self.healthy(now, m));
-        }
-        if order.is_empty() {
-            return Choice::Wait;
-        }
+        order.retain(|m| self.healthy(now, m));
         let stretch = self.stretch(&o.req);
         // The limits hold for the location as a whole: at one cache a router of many has room for chance.
         let limit = |m: &Member| m.limit * stretch / self.sharing;
         let busy = |m: &Member| m.out.saturating_sub(m.looks) as f64;
         let spare = order.iter().map(|m| limit(m).max(1.0) - busy(m)).sum::<f64>() > 0.0;
-        let room = |m: &&Member| spare && busy(m) < part(m.limit * stretch, self.sharing);
-        let mut open: Vec<&Member> = order.iter().filter(|m| room(m)).copied().collect();
+        let room = |m: &&Member| busy(m) < part(m.limit * stretch, self.sharing);
+        let mut open: Vec<&Member> = order.iter().filter(|m| spare && room(m)).copied().collect();
         if open.is_empty() {
             open = failing.into_iter().filter(room).collect();
         }
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -270,3 +270,33 @@
     let used = (0..120).flat_map(|i| s.ask(VIDEO, &format!("n{i}"))).any(|sent| sent.member == failing);
     assert!(used, "the others have no room");
 }
+
+#[test]
+fn untold_a_refusal_from_afar_is_the_sources() {
+    let mut untold = settings();
+    untold.notes = Notes::None;
+    for (elapsed, blamed) in [(MS, false), (400 * MS, true)] {
+        let mut s = Stage::with(untold.clone(), fleet());
+        let sent = s.ask(VIDEO, "a").remove(0);
+        let (request, attempt, member) = (sent.request, sent.attempt, sent.member);
+        let (status, note) = (Status::Full, Note::Untold);
+        let end = Outcome { request, attempt, member, status, note, elapsed, waited: 0, closed: false };
+        let next = s.tell(Event::Outcome(end)).remove(0);
+        assert_eq!((next.member == member, next.source() != sent.source()), (blamed, blamed), "{elapsed}");
+    }
+}
+
+#[test]
+fn with_all_caches_dead_a_request_is_refused_without_spending_its_attempts() {
+    let mut s = Stage::new();
+    for cache in ["c1", "c2", "c3"] {
+        let mut sent = s.ask(VIDEO, cache);
+        while let Some(one) = sent.pop() {
+            sent = s.end(&one, Status::ConnectFailed, Note::Untold);
+        }
+    }
+    assert!(s.ask(VIDEO, "a").is_empty());
+    assert!(matches!(s.finals()[..], [Action::Refuse { .. }]));
+    s.now += 600 * MS;
+    assert_eq!(s.ask(VIDEO, "a").len(), 1, "tried again once the hold is over");
+}
