--- a/src/logic.rs
+++ b/src/logic.rs
@@ -65,10 +65,7 @@
 const PURGE_MARGIN: Micros = 1_000 * MS;
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
 const KEY_MARGIN: Micros = 200 * MS;
-/// All copies are kept at one rank, so that the least lately used leaves first: one router of many takes for new
-/// what the others have asked for long since, and would lower its rank.
-const KEEP: u8 = 2;
-/// Copies whose cache is remembered; two such tables are held.
+/// Copies remembered as asked for before; two such tables are held.
 const SEEN_MOST: usize = 50_000;
 
 /// What a process has shown of itself; void once another one has started in its place.
@@ -399,7 +396,7 @@
             };
             Fetch {
                 source,
-                keep: if c.uncacheable || stale_try { 0 } else { KEEP },
+                keep: if c.uncacheable || stale_try { 0 } else { self.rank(&o.req) },
                 age,
                 // A fill begun before a purge would hand on the purged copy.
                 join: self.set.joins && purge_limit.is_none() && !c.uncacheable,
@@ -713,6 +710,11 @@
         }
     }
 
+    /// The rank a copy is kept at: first asked for, low; asked for again, above what was asked for once.
+    fn rank(&self, req: &Request) -> u8 {
+        1 + self.seen.iter().any(|s| s.contains_key(&(req.object, req.part))) as u8
+    }
+
     fn remember(&mut self, key: (ObjectId, u64), cache: MemberId) {
         if self.seen[0].len() >= SEEN_MOST {
             self.seen.swap(0, 1);
