--- a/src/logic.rs
+++ b/src/logic.rs
@@ -813,9 +813,9 @@
         order.retain(|m| self.healthy(now, m));
         let stretch = self.stretch(&o.req);
         // The limits hold for the location as a whole: at one cache a router of many has room for chance.
-        let limit = |m: &Member| m.limit * stretch / self.sharing;
         let busy = |m: &Member| m.out.saturating_sub(m.looks) as f64;
-        let spare = order.iter().map(|m| limit(m).max(1.0) - busy(m)).sum::<f64>() > 0.0;
+        let whole = order.iter().map(|m| m.limit).sum::<f64>() * stretch / self.sharing;
+        let spare = order.iter().map(|m| busy(m)).sum::<f64>() < whole.max(1.0);
         let room = |m: &&Member| busy(m) < part(m.limit * stretch, self.sharing);
         let mut open: Vec<&Member> = order.iter().filter(|m| spare && room(m)).copied().collect();
         if open.is_empty() {
