--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,7 +53,11 @@
 const HOLD_LONGEST: Micros = 4_000 * MS;
 /// Share of a cold member's told budget that is spent: chance and late arrivals take the rest.
 const COLD_SHARE: f64 = 0.7;
-/// Share by which one answer moves a class's mean sending time.
+/// Share by which one answer moves a cache's pace, the log of its time over the sending time (hits only, where
+/// told); a cache slower than usual in the location by more than this factor weighs less by the rest.
+const PACE_STEP: f64 = 0.1;
+const PACE_SLOW: f64 = 2.0;
+/// Share by which one answer moves a class's mean sending time, and the location's usual pace.
 const MEAN_STEP: f64 = 0.02;
 /// The first guess of a class's mean (its aim) counts like so many answers.
 const MEAN_GUESS: f64 = 5.0;
@@ -73,9 +77,9 @@
 struct Health {
     mark: f64,
     holds: u32,
-    /// Held off for refused connections or silence: nothing to hope for until a trial is answered.
-    mute: bool,
     held_until: Micros,
+    /// How slow its answers are, as a log.
+    pace: f64,
     /// As a source, when it last failed.
     failed_at: Option<Micros>,
 }
@@ -139,6 +143,8 @@
     /// Uncacheable requests with nothing under way, waiting for somebody to send to.
     parked: BTreeSet<RequestId>,
     ticking: bool,
+    /// Usual pace of this location's caches.
+    pace: f64,
     /// Mean sending time by class, seconds.
     mean: Vec<f64>,
     learned: Vec<u32>,
@@ -177,14 +183,6 @@
     even + CHANCE * (even * (1.0 - 1.0 / sharing)).sqrt()
 }
 
-/// Sending time of a request: by its size where told, else its class's mean.
-fn seconds_of(set: &Settings, mean: &[f64], req: &Request) -> f64 {
-    match req.kb {
-        Some(kb) if set.stream_kb_per_s > 0.0 => kb / set.stream_kb_per_s,
-        _ => mean[req.class],
-    }
-}
-
 impl Router {
     /// A router that knows nothing yet but its settings. The seed only spreads timers.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -206,6 +204,7 @@
             sharing: if here > 0 { here } else { routers } as f64,
             routers,
             learned: vec![0; mean.len()],
+            pace: 0.0,
             mean,
             asked: (0.0, 0.0),
             object_purges: BTreeMap::new(),
@@ -432,6 +431,7 @@
     // ---- outcome
 
     fn on_outcome(&mut self, now: Micros, e: Outcome, act: &mut Vec<Action>) {
+        let seconds = self.open.get(&e.request).map_or(0.0, |o| self.seconds(&o.req));
         let Some(o) = self.open.get_mut(&e.request) else { return };
         let Some(place) = o.out.iter().position(|out| out.attempt == e.attempt) else { return };
         let out = o.out.swap_remove(place);
@@ -445,7 +445,6 @@
         let (done, class, kb, key) =
             (o.done || e.closed, o.req.class, o.req.kb, (o.req.object, o.req.part));
         let source = out.source.filter(|s| *s != out.member);
-        let seconds = seconds_of(&self.set, &self.mean, &o.req);
         if let Some(m) = self.members.get_mut(&out.member) {
             m.out = m.out.saturating_sub(1);
             m.looks = m.looks.saturating_sub(out.stale_try as u32);
@@ -460,6 +459,15 @@
         }
         if e.status == Status::Ok {
             self.remember(key, out.member);
+            if matches!(e.note, Note::Hit | Note::Old | Note::Untold)
+                && !self.set.classes[class].uncacheable
+            {
+                let pace = (e.elapsed.max(1) as f64 / 1e6 / seconds.max(1e-6)).ln();
+                self.pace += MEAN_STEP * (pace - self.pace);
+                if let Some(m) = self.members.get_mut(&out.member) {
+                    m.health.pace += PACE_STEP * (pace - m.health.pace);
+                }
+            }
             // Quick answers only: slow ones would raise the mean and with it what counts as late.
             let quick = e.elapsed <= self.set.classes[class].aim;
             if kb.is_none() && quick && matches!(e.note, Note::Hit | Note::Old | Note::Untold) {
@@ -570,11 +578,7 @@
                 Blame::Cache
             }
             // A dead process cuts all that it held, which adds up; single cuts are like single errors.
-            (Status::Reset, _) => {
-                self.bad(now, out.member, 0.0);
-                Blame::Cache
-            }
-            (Status::Error, _) => {
+            (Status::Reset | Status::Error, _) => {
                 self.bad(now, out.member, 0.0);
                 Blame::Cache
             }
@@ -594,7 +598,6 @@
     fn good(&mut self, id: MemberId, step: f64) {
         let Some(m) = self.members.get_mut(&id) else { return };
         m.health.mark *= 1.0 - step;
-        m.health.mute = false;
         if m.health.mark < MARK_TRUST / 2.0 {
             m.health.holds = 0;
         }
@@ -604,7 +607,6 @@
     fn bad(&mut self, now: Micros, id: MemberId, least: f64) {
         let Some(m) = self.members.get_mut(&id) else { return };
         m.health.mark = (m.health.mark * (1.0 - MARK_STEP) + MARK_STEP).max(least);
-        m.health.mute |= least >= MARK_HARD;
         if m.health.mark >= MARK_HOLD && now >= m.health.held_until {
             m.health.held_until = now + (HOLD_FIRST << m.health.holds.min(8)).min(HOLD_LONGEST);
             m.health.holds += 1;
@@ -638,25 +640,19 @@
             let on_trial = self.members.get(&id).is_some_and(|m| m.health.mark >= MARK_TRUST);
             if count >= SILENT_COUNT || on_trial {
                 self.bad(now, id, MARK_HARD);
-                if self.set.may_cancel {
-                    self.cancel_all(id, act);
+                for (request, o) in self.open.iter_mut().filter(|_| self.set.may_cancel) {
+                    if self.set.classes[o.req.class].repeat == Repeat::Unsafe {
+                        continue;
+                    }
+                    for out in o.out.iter_mut().filter(|out| out.cancelled.is_none() && out.member == id) {
+                        out.cancelled = Some(Blame::Cache);
+                        act.push(Action::Cancel { request: *request, attempt: out.attempt });
+                    }
                 }
             }
         }
     }
 
-    fn cancel_all(&mut self, id: MemberId, act: &mut Vec<Action>) {
-        for (request, o) in self.open.iter_mut() {
-            if self.set.classes[o.req.class].repeat == Repeat::Unsafe {
-                continue;
-            }
-            for out in o.out.iter_mut().filter(|out| out.cancelled.is_none() && out.member == id) {
-                out.cancelled = Some(Blame::Cache);
-                act.push(Action::Cancel { request: *request, attempt: out.attempt });
-            }
-        }
-    }
-
     // ---- purge
 
     fn on_purge(&mut self, now: Micros, object: Option<ObjectId>, group: u64, age: Micros) {
@@ -698,16 +694,22 @@
         m.entry.zone == self.set.zone && !self.is_origin(m) && !self.is_parent(m)
     }
 
+    /// Sending time of a request: by its size where told, else its class's mean.
     fn seconds(&self, req: &Request) -> f64 {
-        seconds_of(&self.set, &self.mean, req)
+        match req.kb {
+            Some(kb) if self.set.stream_kb_per_s > 0.0 => kb / self.set.stream_kb_per_s,
+            _ => self.mean[req.class],
+        }
     }
 
     fn weight(&self, m: &Member) -> f64 {
-        match self.set.weights {
-            // Live weights change with the load and would move every object's home.
-            Weights::None | Weights::Live => 1.0,
-            Weights::Nominal | Weights::Rough => m.entry.weight,
-        }
+        let slow = if self.is_cache(m) { (self.pace - m.health.pace).exp() * PACE_SLOW } else { 1.0 };
+        slow.min(1.0)
+            * match self.set.weights {
+                // Live weights change with the load and would move every object's home.
+                Weights::None | Weights::Live => 1.0,
+                Weights::Nominal | Weights::Rough => m.entry.weight,
+            }
     }
 
     /// The rank a copy is kept at: first asked for, low; asked for again, above what was asked for once.
@@ -806,21 +808,18 @@
             return self.choose_uncacheable(now, o);
         }
         let mut order = self.able(now, o, |m| self.is_cache(m));
-        // Held off for errors, yet it answers some: better than refusing when the others have no room. Dead or
-        // silent ones only spend attempts: with no others the client comes back when more is known.
-        let failing: Vec<&Member> =
-            order.iter().filter(|m| !m.health.mute && !self.healthy(now, m)).copied().collect();
-        order.retain(|m| self.healthy(now, m));
+        // Held off, unless that is most of the location: then what fails is not theirs alone, and some answer.
+        let well = order.iter().filter(|m| self.healthy(now, m)).count();
+        if 2 * well >= order.len() {
+            order.retain(|m| self.healthy(now, m));
+        }
         let stretch = self.stretch(&o.req);
         // The limits hold for the location as a whole: at one cache a router of many has room for chance.
         let busy = |m: &Member| m.out.saturating_sub(m.looks) as f64;
         let whole = order.iter().map(|m| m.limit).sum::<f64>() * stretch / self.sharing;
         let spare = order.iter().map(|m| busy(m)).sum::<f64>() < whole.max(1.0);
         let room = |m: &&Member| busy(m) < part(m.limit * stretch, self.sharing);
-        let mut open: Vec<&Member> = order.iter().filter(|m| spare && room(m)).copied().collect();
-        if open.is_empty() {
-            open = failing.into_iter().filter(room).collect();
-        }
+        let open: Vec<&Member> = order.iter().filter(|m| spare && room(m)).copied().collect();
         let Some(cache) = self.pick(copy_key(&o.req), &open, |m| (m.out, m.out_kb)) else {
             // No room for what may need a fill: a copy held at home still answers, a miss comes back at once.
             order.retain(|m| (m.looks as f64) < LOOKS * m.entry.weight / self.sharing);
