--- a/src/logic.rs
+++ b/src/logic.rs
@@ -177,7 +177,7 @@
     -weight / u.max(1e-12).ln().min(-1e-12)
 }
 
-/// One router's part of what `sharing` of them may have under way together: the even share and room for chance.
+/// One router's part of what `sharing` of them may have under way: the even share and room for chance.
 fn part(whole: f64, sharing: f64) -> f64 {
     let even = whole / sharing;
     even + CHANCE * (even * (1.0 - 1.0 / sharing)).sqrt()
