--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,8 +53,8 @@
 const HOLD_LONGEST: Micros = 4_000 * MS;
 /// Share of a cold member's told budget that is spent: chance and late arrivals take the rest.
 const COLD_SHARE: f64 = 0.7;
-/// Share by which one answer moves a cache's pace, the log of its time over the sending time (hits only, where
-/// told); a cache slower than usual in the location by more than this factor weighs less by the rest.
+/// Share by which one answer moves a cache's pace, the log of its time over the sending time (of hits only,
+/// where told); a cache slower than usual in the location by more than this factor weighs less by the rest.
 const PACE_STEP: f64 = 0.1;
 const PACE_SLOW: f64 = 2.0;
 /// Share by which one answer moves a class's mean sending time, and the location's usual pace.
@@ -623,8 +623,8 @@
         }
     }
 
-    /// A cache that takes work and answers nothing: several answers overdue, no word since they were sent. Their
-    /// requests are cancelled and go elsewhere. A source is not judged so: a full link looks the same.
+    /// A cache that takes work and answers nothing: several answers overdue, no word since they were sent.
+    /// They are cancelled and go elsewhere. A source is not judged so: a full link looks the same.
     fn find_silent(&mut self, now: Micros, act: &mut Vec<Action>) {
         let mut overdue: BTreeMap<MemberId, usize> = BTreeMap::new();
         for o in self.open.values() {
@@ -745,8 +745,8 @@
         m.entry.state == MemberState::Ready && self.cold_room(now, m, class)
     }
 
-    /// A cold member takes only so much in any window: the multiple of what it can do at the window's start. Too
-    /// little for a request of every router goes to some, by their numbers; the caches' routers take even parts.
+    /// A cold member takes only so much in any window: the multiple of what it can do at the window's start.
+    /// Too little of a parent for every router goes to some, by their numbers; a cache is shared evenly.
     /// A router that has just started knows nothing of its last window.
     fn cold_room(&self, now: Micros, m: &Member, class: usize) -> bool {
         let parent = self.is_parent(m);
@@ -808,7 +808,7 @@
             return self.choose_uncacheable(now, o);
         }
         let mut order = self.able(now, o, |m| self.is_cache(m));
-        // Held off, unless that is most of the location: then what fails is not theirs alone, and some answer.
+        // Held off, unless that is most of the location: what fails is not theirs alone, and some answer.
         let well = order.iter().filter(|m| self.healthy(now, m)).count();
         if 2 * well >= order.len() {
             order.retain(|m| self.healthy(now, m));
