--- a/src/logic.rs
+++ b/src/logic.rs
@@ -275,19 +275,9 @@
         let (worth, seconds) = (self.set.classes[req.class].worth, self.seconds(&req));
         self.asked.0 += MEAN_STEP * (worth - self.asked.0);
         self.asked.1 += MEAN_STEP * (seconds - self.asked.1);
-        let deadline = now + req.left;
-        let open = Open {
-            req,
-            deadline,
-            attempts: 0,
-            out: Vec::new(),
-            avoid: Vec::new(),
-            stale_tried: false,
-            fulls: 0,
-            not_before: 0,
-            ran: None,
-            done: false,
-        };
+        let (deadline, out, avoid) = (now + req.left, Vec::new(), Vec::new());
+        let (attempts, stale_tried, fulls, not_before, ran, done) = (0, false, 0, 0, None, false);
+        let open = Open { req, deadline, attempts, out, avoid, stale_tried, fulls, not_before, ran, done };
         self.open.insert(id, open);
         self.go_on(now, id, act);
     }
@@ -384,8 +374,8 @@
         let purge_limit = self.purge_limit(now, &o.req);
         let c = &self.set.classes[class];
         let fetch = source.map(|source| {
-            let failing = self.source_failed(now, source);
-            let old = stale_try || failing;
+            let failed_at = self.members.get(&source).and_then(|m| m.health.failed_at);
+            let old = stale_try || failed_at.is_some_and(|at| now < at + STALE_WINDOW);
             let most = if old && c.fresh > 0 { c.fresh + c.grace } else { c.fresh };
             // Age 0 would mean the class's fresh time, so a purge limit stays above it.
             let age = match purge_limit {
@@ -399,7 +389,7 @@
                 age,
                 // A fill begun before a purge would hand on the purged copy.
                 join: self.set.joins && purge_limit.is_none() && !c.uncacheable,
-                held_only: false,
+                held_only: source != member && !c.uncacheable && !self.origin_well(now),
                 renew: c.fresh > 0 && !stale_try,
             }
         });
@@ -542,7 +532,12 @@
             (Status::Ok, note) => {
                 self.good(out.member, MARK_STEP);
                 match (note, source) {
-                    (Note::Filled | Note::FilledByOrigin, Some(s)) => self.good(s, MARK_STEP),
+                    (Note::Filled | Note::FilledByOrigin, Some(s)) => {
+                        self.good(s, MARK_STEP);
+                        if let Some(origin) = self.origin().filter(|_| note == Note::FilledByOrigin) {
+                            self.good(origin, MARK_STEP);
+                        }
+                    }
                     // Untold, most answers are hits and say little of the source.
                     (Note::Untold, Some(s)) => self.good(s, MARK_STEP / 4.0),
                     _ => {}
@@ -681,6 +676,11 @@
         self.members.values().find(|m| self.is_origin(m)).map(|m| m.entry.id)
     }
 
+    /// Not held off: failures behind parents count as well.
+    fn origin_well(&self, now: Micros) -> bool {
+        self.origin().and_then(|id| self.members.get(&id)).is_none_or(|m| self.healthy(now, m))
+    }
+
     fn is_origin(&self, m: &Member) -> bool {
         Some(m.entry.kind) == self.set.origin_kind
     }
@@ -735,11 +735,6 @@
         (fit && self.purge_limit(now, &o.req).is_none() && self.may_send(now, m, o.req.class)).then_some(id)
     }
 
-    fn source_failed(&self, now: Micros, id: MemberId) -> bool {
-        let failed_at = self.members.get(&id).and_then(|m| m.health.failed_at);
-        failed_at.is_some_and(|at| now < at + STALE_WINDOW)
-    }
-
     /// Rules: drains and cold members. Listed as ready, and its cold budget has room for one more.
     fn may_send(&self, now: Micros, m: &Member, class: usize) -> bool {
         m.entry.state == MemberState::Ready && self.cold_room(now, m, class)
@@ -828,8 +823,14 @@
             let home = held.or_else(|| self.pick(copy_key(&o.req), &order, |_| (0, 0.0)));
             return home.filter(|_| !o.stale_tried).map_or(Choice::Refuse, Choice::Look);
         };
-        let source = self.holder(now, o, cache).or_else(|| self.choose_source(now, o)).unwrap_or(cache);
-        Choice::Send(cache, Some(source))
+        let source = self.holder(now, o, cache).or_else(|| self.choose_source(now, o));
+        // While the origin fails, one source is asked for what it holds, then the cache: no miss adds to it,
+        // and what can only run there keeps its place.
+        match source.filter(|_| o.avoid.is_empty() || self.origin_well(now)) {
+            Some(source) => Choice::Send(cache, Some(source)),
+            None if o.stale_tried => Choice::Refuse,
+            None => Choice::Look(cache),
+        }
     }
 
     /// What earns more for its sending time than most comes first where there is not room for all.
@@ -843,7 +844,8 @@
     fn choose_source(&self, now: Micros, o: &Open) -> Option<MemberId> {
         let parents = self.able(now, o, |m| self.is_parent(m));
         let fit: Vec<&Member> = parents.iter().filter(|m| self.healthy(now, m)).copied().collect();
-        let origin = self.able(now, o, |m| self.is_origin(m)).first().map(|m| m.entry.id);
+        let origin = self.able(now, o, |m| self.is_origin(m) && self.healthy(now, m));
+        let origin = origin.first().map(|m| m.entry.id);
         let pick = |from: &[&Member]| self.pick(copy_key(&o.req), from, |m| (m.fills, m.fills as f64));
         pick(&fit).or(origin).or_else(|| pick(&parents))
     }
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -313,3 +313,22 @@
     assert_eq!(tried.len(), 3);
     assert!(matches!(s.finals()[..], [Action::Refuse { .. }]), "not held until its deadline");
 }
+
+#[test]
+fn while_the_origin_fails_misses_do_not_add_to_it() {
+    let mut s = Stage::new();
+    for i in 0..3 {
+        let sent = s.ask(VIDEO, &format!("o{i}")).remove(0);
+        assert!(!sent.fetch().held_only);
+        // The behind-the-parent failure is told by a note; the client then leaves.
+        s.end(&sent, Status::Full, Note::OriginFailed);
+        s.tell(Event::Hangup(sent.request));
+    }
+    let sent = s.ask(VIDEO, "a").remove(0);
+    assert!(sent.fetch().held_only && sent.source() != MemberId::named("origin"));
+    let look = s.end(&sent, Status::Miss, Note::SourceLacks).remove(0);
+    assert_eq!(look.source(), look.member, "then only what the cache holds");
+    assert!(s.end(&look, Status::Miss, Note::Untold).is_empty());
+    let only_there = s.ask(KEYED, "k").remove(0);
+    assert_eq!(only_there.member, MemberId::named("origin"));
+}
