--- a/tests/random.rs
+++ b/tests/random.rs
@@ -43,6 +43,8 @@
     let mut dice = Dice(seed * 7919 + 1);
     let mut set = settings();
     set.straight = seed.is_multiple_of(2);
+    (set.routers, set.me) = [(2, Some(1)), (0, None), (90, Some(200))][(seed % 3) as usize];
+    set.zones[1].routers = [1, 0, 12][(seed % 3) as usize];
     set.notes = [Notes::All, Notes::HitOnly, Notes::None][(seed % 3) as usize];
     let (mut router, mut now, mut log) = (Router::new(set.clone(), seed), T0, vec![]);
     let mut watch: BTreeMap<RequestId, Watch> = BTreeMap::new();
--- a/wirehost/tests/wire.rs
+++ b/wirehost/tests/wire.rs
@@ -37,7 +37,7 @@
 
 const ROUND: &str = r#"{"ROUND":{"TMs":5000.25,"round":3}}"#;
 const END: &str = r#"{"OVER_TO_YOU":{}}"#;
-const START: &str = r#"{"PROVISION":{"Dispatcher":4,"Nonce64":9,"Config":{"NewKey":[1],"Balancers":1,"Zone":1,
+const START: &str = r#"{"PROVISION":{"Dispatcher":4,"Nonce64":9,"Config":{"NewKey":[1],"Balancers":1,"Me":0,"Zone":1,
  "Zones":["hub","edge"],"WeightSource":"nominal","Allowed":{"MaxAttempts":6,"MayCancel":true,"RetryAfter":null},
  "Classes":[{"AimMs":300.0,"DeadlineMs":2500.0,"Repeat":"idempotent","Worth":1.0}],
  "Rules":{"FallMs":1000.0,"OverloadFactor":2.0,"StartCapacity":0.2,"WarmWithinMs":9000.0},
