--- a/src/interface.rs
+++ b/src/interface.rs
@@ -64,10 +64,7 @@
     /// An answer within `aim`, plus `aim_stretch` times its own sending time, earns the full worth.
     pub aim: Micros,
     pub aim_stretch: f64,
-    pub deadline: Micros,
     pub worth: f64,
-    /// Share of the worth that a later answer earns.
-    pub late_worth: f64,
     pub repeat: Repeat,
     /// Runs at the origin, is never kept.
     pub uncacheable: bool,
@@ -75,10 +72,6 @@
     pub fresh: Micros,
     /// How much older than fresh a copy may be when asked for.
     pub grace: Micros,
-    /// Share of the worth that a copy past its fresh time earns.
-    pub worth_when_old: f64,
-    /// Clients ask for the parts of an object in turn.
-    pub parts: bool,
 }
 
 /// A location's or a hub's place.
@@ -86,8 +79,6 @@
 pub struct Zone {
     /// Routers that serve it.
     pub routers: u32,
-    /// Place of its hub among the zones.
-    pub hub: usize,
 }
 
 /// What answers tell of how they came about.
@@ -149,9 +140,6 @@
     /// A request may join a fill that is under way.
     pub joins: bool,
     pub may_cancel: bool,
-    /// Two attempts of one request may be out together.
-    pub second_copies: bool,
-    pub may_probe: bool,
     /// Clients are told how long to hold off.
     pub retry_after: bool,
     pub max_retry_after: Micros,
@@ -162,8 +150,6 @@
     pub cold_parent: ColdRule,
     /// No copy older than a purge is left anywhere after this.
     pub purge_done: Micros,
-    /// A final answer still counts so long after the deadline.
-    pub answer_slack: Micros,
 }
 
 /// A member's state on the list.
@@ -212,8 +198,6 @@
     pub left: Micros,
     /// Size of the answer, where told.
     pub kb: Option<f64>,
-    /// The client asks again.
-    pub retry: bool,
 }
 
 /// How an attempt ended.
@@ -267,8 +251,6 @@
     pub note: Note,
     /// Since the send.
     pub elapsed: Micros,
-    /// To the first byte from the source, or to the fill's failure; 0 where untold.
-    pub waited: Micros,
     /// The request is finished.
     pub closed: bool,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,13 +14,12 @@
 //! let cold = ColdRule { start_share: 0.2, warm_within: 10_000_000, multiple: 2.0, window: 1_000_000 };
 //! let settings = Settings {
 //!     zone: 1,
-//!     zones: vec![Zone { routers: 0, hub: 0 }, Zone { routers: 1, hub: 0 }],
+//!     zones: vec![Zone { routers: 0 }, Zone { routers: 1 }],
 //!     routers: 1,
 //!     me: Some(0),
 //!     classes: vec![Class {
-//!         aim: 300_000, aim_stretch: 2.0, deadline: 2_500_000, worth: 1.0, late_worth: 0.2,
+//!         aim: 300_000, aim_stretch: 2.0, worth: 1.0,
 //!         repeat: Repeat::Safe, uncacheable: false, fresh: 12_000_000, grace: 20_000_000,
-//!         worth_when_old: 0.7, parts: false,
 //!     }],
 //!     parent_kind: Some(1),
 //!     origin_kind: Some(2),
@@ -30,8 +29,6 @@
 //!     straight: false,
 //!     joins: true,
 //!     may_cancel: true,
-//!     second_copies: false,
-//!     may_probe: false,
 //!     retry_after: true,
 //!     max_retry_after: 1_000_000,
 //!     max_attempts: 6,
@@ -39,7 +36,6 @@
 //!     cold_cache: cold,
 //!     cold_parent: cold,
 //!     purge_done: 6_000_000,
-//!     answer_slack: 8_000,
 //! };
 //! let mut router = Router::new(settings, 42);
 //! let mut actions = Vec::new();
@@ -50,7 +46,7 @@
 //! router.handle(0, Event::Members { update: ListUpdate::Full, entries }, &mut actions);
 //! router.handle(1_000, Event::Request(Request {
 //!     id: RequestId(7), class: 0, object: ObjectId::named("page"), part: 0, group: 3,
-//!     left: 2_500_000, kb: Some(300.0), retry: false,
+//!     left: 2_500_000, kb: Some(300.0),
 //! }), &mut actions);
 //! let sent = actions.iter().find_map(|action| match action {
 //!     Action::Send { member, fetch: Some(fetch), .. } => Some((*member, fetch.source)),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,25 +13,13 @@
 pub const UNSAFE: usize = 3;
 
 fn class(repeat: Repeat, fresh: Micros, grace: Micros, uncacheable: bool) -> Class {
-    Class {
-        aim: 300 * MS,
-        aim_stretch: 2.0,
-        deadline: 3 * S,
-        worth: 1.0,
-        late_worth: 0.2,
-        repeat,
-        uncacheable,
-        fresh,
-        grace,
-        worth_when_old: 0.7,
-        parts: false,
-    }
+    Class { aim: 300 * MS, aim_stretch: 2.0, worth: 1.0, repeat, uncacheable, fresh, grace }
 }
 
 pub fn settings() -> Settings {
     Settings {
         zone: 1,
-        zones: vec![Zone { routers: 0, hub: 0 }, Zone { routers: 1, hub: 0 }],
+        zones: vec![Zone { routers: 0 }, Zone { routers: 1 }],
         routers: 2,
         me: Some(0),
         classes: vec![
@@ -48,8 +36,6 @@
         straight: true,
         joins: true,
         may_cancel: true,
-        second_copies: false,
-        may_probe: false,
         retry_after: true,
         max_retry_after: S,
         max_attempts: 6,
@@ -57,7 +43,6 @@
         cold_cache: ColdRule { start_share: 0.2, warm_within: 10 * S, multiple: 2.0, window: 2 * S },
         cold_parent: ColdRule { start_share: 0.1, warm_within: 20 * S, multiple: 2.0, window: 2 * S },
         purge_done: 6 * S,
-        answer_slack: 8 * MS,
     }
 }
 
@@ -146,7 +131,6 @@
             group: 5,
             left: 3 * S,
             kb: Some(300.0),
-            retry: false,
         }))
     }
     pub fn end(&mut self, sent: &Sent, status: Status, note: Note) -> Vec<Sent> {
@@ -160,7 +144,6 @@
             status,
             note,
             elapsed,
-            waited: 0,
             closed: status == Status::Ok,
         }))
     }
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -99,7 +99,7 @@
                     let object = ObjectId(dice.roll(20));
                     let kb = (dice.roll(2) == 0).then_some(300.0);
                     let (part, group) = (dice.roll(3), dice.roll(3));
-                    Event::Request(Request { id, class, object, part, group, left, kb, retry: false })
+                    Event::Request(Request { id, class, object, part, group, left, kb })
                 }
             }
         };
@@ -160,7 +160,6 @@
         status,
         note,
         elapsed: 40 * MS,
-        waited: 0,
         closed: w.finished,
     })
 }
--- a/wirehost/src/translate.rs
+++ b/wirehost/src/translate.rs
@@ -42,24 +42,18 @@
         classes.push(Class {
             aim: told(k.aim_ms),
             aim_stretch: k.aim_stretch.unwrap_or_default(),
-            deadline: told(k.deadline_ms),
             worth: k.worth.unwrap_or_default(),
-            late_worth: k.late_worth.unwrap_or_default(),
             repeat,
             uncacheable: at(&f.never_kept, i),
             fresh: micros(at(&f.max_age_ms, i)),
             grace: micros(at(&f.usable_after_ms, i)),
-            worth_when_old: at(&f.worth_when_old, i),
-            parts: at(&f.in_pieces, i),
         });
     }
     let zones = c.zones.iter().flatten().enumerate();
     let kind = |k: Option<i64>| k.and_then(|k| usize::try_from(k).ok());
     Ok(Settings {
         zone: c.zone.unwrap_or_default(),
-        zones: zones
-            .map(|(i, _)| Zone { routers: at(&f.instances_by_zone, i), hub: at(&f.zone_hub, i) })
-            .collect(),
+        zones: zones.map(|(i, _)| Zone { routers: at(&f.instances_by_zone, i) }).collect(),
         routers: c.balancers.unwrap_or_default(),
         me: c.me,
         classes,
@@ -87,8 +81,6 @@
         straight: f.straight.unwrap_or_default(),
         joins: f.merges_fills.unwrap_or_default(),
         may_cancel: a.may_cancel.unwrap_or_default(),
-        second_copies: a.second_copies.unwrap_or_default(),
-        may_probe: a.probes.unwrap_or_default(),
         retry_after: a.retry_after.unwrap_or_default(),
         max_retry_after: told(a.max_retry_after_ms),
         max_attempts: a.max_attempts.unwrap_or_default(),
@@ -106,7 +98,6 @@
             window: told(r.fall_ms),
         },
         purge_done: told(f.gone_everywhere_ms),
-        answer_slack: told(r.answer_slack_ms),
     })
 }
 
@@ -150,7 +141,6 @@
         group: r.set_no.unwrap_or_default() as u64,
         left: told(r.expires_in_ms),
         kb: r.kbytes.filter(|kb| *kb > 0.0),
-        retry: r.repeat.unwrap_or_default(),
     })
 }
 
@@ -195,7 +185,6 @@
         status,
         note,
         elapsed: told(o.elapsed_ms),
-        waited: told(o.upstream_wait_ms),
         closed: o.over.unwrap_or_default(),
     }))
 }
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -46,15 +46,14 @@
     }
     Incoming {
         need { dispatcher: u64, req: u64 }
-        may { cls: usize, content_id: String, expires_in_ms: f64, kbytes: f64, set_no: f64, slice: f64,
-              repeat: bool }
+        may { cls: usize, content_id: String, expires_in_ms: f64, kbytes: f64, set_no: f64, slice: f64 }
     }
     Reminder { need { dispatcher: u64, cookie: u64 } may {} }
     Voided { need { dispatcher: u64 } may { group: u64, how_old_ms: f64, content_id: String } }
     Hangup { need { dispatcher: u64, req: u64 } may {} }
     Ended {
         need { dispatcher: u64, req: u64, state_code: String, host: String }
-        may { round_no: u32, elapsed_ms: f64, upstream_wait_ms: f64, remark: u8, over: bool }
+        may { round_no: u32, elapsed_ms: f64, remark: u8, over: bool }
     }
     Config {
         need { rules: Rules, family_info: FamilyInfo }
@@ -63,22 +62,22 @@
     }
     Rules {
         need {}
-        may { answer_slack_ms: f64, start_capacity: f64, warm_within_ms: f64, overload_factor: f64, fall_ms: f64 }
+        may { start_capacity: f64, warm_within_ms: f64, overload_factor: f64, fall_ms: f64 }
     }
     Allowed {
         need {}
-        may { max_attempts: u32, may_cancel: bool, second_copies: bool, probes: bool, retry_after: bool,
+        may { max_attempts: u32, may_cancel: bool, retry_after: bool,
               max_retry_after_ms: f64 }
     }
     Class {
         need {}
-        may { aim_ms: f64, aim_stretch: f64, deadline_ms: f64, worth: f64, late_worth: f64, repeat: String,
+        may { aim_ms: f64, aim_stretch: f64, worth: f64, repeat: String,
               group: String, key_ttl_ms: f64 }
     }
     FamilyInfo {
         need {}
-        may { second_tier_kind: i64, master_kind: i64, instances_by_zone: Vec<u32>, zone_hub: Vec<usize>,
-              max_age_ms: Vec<f64>, usable_after_ms: Vec<f64>, worth_when_old: Vec<f64>, in_pieces: Vec<bool>,
+        may { second_tier_kind: i64, master_kind: i64, instances_by_zone: Vec<u32>,
+              max_age_ms: Vec<f64>, usable_after_ms: Vec<f64>,
               never_kept: Vec<bool>, straight: bool, stream_kb_per_s: f64, merges_fills: bool,
               neighbours: String, tells: String, parent_starts_at: f64, upper_cold_ms: f64,
               parent_fall_multiple: f64, gone_everywhere_ms: f64 }
