--- a/src/logic.rs
+++ b/src/logic.rs
@@ -166,12 +166,12 @@
     x ^ (x >> 31)
 }
 
-/// Caches share out copies, which are parts; parents share out objects.
+/// Caches and parents share out copies, which are parts: all of a wanted object would fill one parent's link.
 fn copy_key(req: &Request) -> u64 {
     req.object.0 ^ mix(req.part)
 }
 
-/// Weighted rendezvous: the member with the highest score is the object's home.
+/// Weighted rendezvous: the member with the highest score is the copy's home.
 fn score(object: u64, member: MemberId, weight: f64) -> f64 {
     let u = (mix(object ^ mix(member.0)) >> 11) as f64 / (1_u64 << 53) as f64;
     -weight / u.max(1e-12).ln().min(-1e-12)
@@ -840,7 +840,7 @@
         (own / usual.max(1e-6)).sqrt().clamp(LIMIT_STRETCH.0, LIMIT_STRETCH.1)
     }
 
-    /// The object's parent: hash order over all that are listed, then the origin.
+    /// The copy's parent: hash order over all that are listed, then the origin.
     fn choose_source(&self, now: Micros, o: &Open) -> Option<MemberId> {
         let parents = self.able(now, o, |m| self.is_parent(m));
         let fit: Vec<&Member> = parents.iter().filter(|m| self.healthy(now, m)).copied().collect();
@@ -850,7 +850,7 @@
         pick(&fit).or(origin).or_else(|| pick(&parents))
     }
 
-    /// Rendezvous order of the object, skipping members over the bound; all over it: the least loaded.
+    /// Rendezvous order of the copy, skipping members over the bound; all over it: the least loaded.
     fn pick(
         &self,
         object: u64,
