--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,30 @@
+//! Settings of a dispatcher as INI, one section a concern, every complaint with file, line, key and reason.
+//!
+//! [`load`] reads a file; nothing starts with a wrong one. `examples/edge.ini` shows every key.
+#![forbid(unsafe_code)]
+
+mod members;
+mod reader;
+mod schema;
+
+pub use members::{MemberSpec, Role};
+pub use reader::{Complaint, Complaints, Reader};
+pub use schema::{ClassSpec, EdgeSettings, Listen, Upstream};
+
+use std::path::Path;
+
+/// Reads and checks the settings of a dispatcher.
+pub fn load(path: &Path) -> Result<EdgeSettings, Complaints> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Complaints::one(&name, 0, "", &format!("cannot be read: {e}")))?;
+    parse(&name, &text)
+}
+
+/// Reads and checks settings from a text; `name` stands in complaints.
+pub fn parse(name: &str, text: &str) -> Result<EdgeSettings, Complaints> {
+    let mut reader = Reader::new(name, text)?;
+    let settings = schema::read(&mut reader);
+    reader.finish()?;
+    settings.ok_or_else(|| Complaints::one(name, 0, "", "nothing to start with"))
+}
--- /dev/null
+++ b/crates/config/src/schema.rs
@@ -0,0 +1,271 @@
+//! What a dispatcher's file may say, and what it means to the decision module.
+use crate::members::{self, MemberSpec, Role};
+use crate::reader::Reader;
+use pointspindle::*;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+
+/// Where the dispatcher listens; port 0: any free one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listen {
+    pub http: Option<SocketAddr>,
+    pub framed: Option<SocketAddr>,
+    /// Lists, purges and questions of operators.
+    pub control: Option<SocketAddr>,
+    /// Metrics as text.
+    pub metrics: Option<SocketAddr>,
+    pub max_connections: usize,
+    pub max_streams: usize,
+    /// A connection without a request under way is closed after this.
+    pub idle_us: u64,
+    /// A request's head must be complete by then.
+    pub head_us: u64,
+    /// Most time that a stopping dispatcher waits for answers under way.
+    pub drain_us: u64,
+}
+
+/// Connections to members.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Upstream {
+    pub connect_us: u64,
+    pub max_streams: usize,
+    /// Unused connections are closed after this.
+    pub idle_us: u64,
+    /// Local address of connections to members.
+    pub bind: Option<IpAddr>,
+}
+
+/// A class as the door needs it; the module's view stands in `EdgeSettings::router`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClassSpec {
+    pub name: String,
+    /// HTTP paths that begin so are of this class; the longest prefix counts.
+    pub path_prefix: Option<String>,
+    /// How long a client waits that does not say; the most that one may say.
+    pub deadline_us: u64,
+}
+
+/// All of a dispatcher's settings.
+#[derive(Clone, Debug)]
+pub struct EdgeSettings {
+    pub name: String,
+    pub router: Settings,
+    pub zones: Vec<String>,
+    pub classes: Vec<ClassSpec>,
+    pub listen: Listen,
+    pub upstream: Upstream,
+    /// Time kept back from the client's deadline for the answer's way to it.
+    pub answer_slack_us: u64,
+    /// Segments of an HTTP path that name an object's group for purges.
+    pub group_segments: usize,
+    pub state_file: Option<PathBuf>,
+    pub members: Vec<MemberSpec>,
+    /// Requests that may be open at once.
+    pub max_requests: usize,
+}
+
+const MINUTE: f64 = 60_000.0;
+
+pub(crate) fn read(r: &mut Reader) -> Option<EdgeSettings> {
+    let name = r.value("dispatcher", "name", "dispatcher".to_owned(), "a name");
+    let zone_name = r.must("dispatcher", "zone", String::new(), "the zone that it serves");
+    let me: Option<u32> = r.text("dispatcher", "number").and_then(|text| match text.parse() {
+        Ok(n) => Some(n),
+        Err(_) => {
+            r.complain("dispatcher", "number", &format!("{text:?} is not a whole number"));
+            None
+        }
+    });
+    let routers = r.number("dispatcher", "count", 1, 1, 100_000);
+    if me.is_some_and(|me| me >= routers) {
+        r.complain("dispatcher", "number", "numbers count from 0 and lie below count");
+    }
+    let state_file = r.text("dispatcher", "state_file").filter(|s| !s.is_empty()).map(PathBuf::from);
+    let answer_slack_us = r.ms("dispatcher", "answer_slack_ms", 20.0, 0.0, 10_000.0);
+    let max_requests = r.number("dispatcher", "max_requests", 20_000, 1, 10_000_000);
+
+    let mut zones = Vec::new();
+    let mut counts = Vec::new();
+    for zone in r.named("zone") {
+        counts.push(Zone { routers: r.number(&format!("zone {zone}"), "dispatchers", 0, 0, 100_000) });
+        zones.push(zone);
+    }
+    if zones.is_empty() && !zone_name.is_empty() {
+        zones.push(zone_name.clone());
+        counts.push(Zone { routers });
+    }
+    let zone = zones.iter().position(|z| *z == zone_name).unwrap_or_else(|| {
+        if !zone_name.is_empty() {
+            r.complain("dispatcher", "zone", &format!("{zone_name:?} is none of the [zone …] sections"));
+        }
+        0
+    });
+
+    let mut classes: Vec<ClassSpec> = Vec::new();
+    let mut router_classes = Vec::new();
+    for name in r.named("class") {
+        let (spec, class) = class(r, name);
+        let taken = |c: &&ClassSpec| c.path_prefix.is_some() && c.path_prefix == spec.path_prefix;
+        if let Some(twin) = classes.iter().find(taken).map(|c| c.name.clone()) {
+            let section = format!("class {}", spec.name);
+            r.complain(&section, "path_prefix", &format!("class {twin} has the same"));
+        }
+        classes.push(spec);
+        router_classes.push(class);
+    }
+    if classes.is_empty() {
+        r.complain("class NAME", "", "no class: at least one section is needed");
+    }
+
+    let listen = listen(r);
+    let upstream = Upstream {
+        connect_us: r.ms("upstream", "connect_timeout_ms", 250.0, 1.0, MINUTE),
+        max_streams: r.number("upstream", "max_streams", 1024, 1, 1_000_000),
+        idle_us: r.ms("upstream", "idle_ms", MINUTE, 100.0, 60.0 * MINUTE),
+        bind: optional(r, "upstream", "bind", "an IP address"),
+    };
+    let members = members::read(r, &zones);
+    let router = Settings {
+        zone,
+        zones: counts,
+        routers,
+        me,
+        classes: router_classes,
+        parent_kind: Some(Role::Parent.kind()),
+        origin_kind: Some(Role::Origin.kind()),
+        weights: r.choice(
+            "fleet",
+            "weights",
+            Weights::Nominal,
+            &[
+                ("none", Weights::None),
+                ("nominal", Weights::Nominal),
+                ("rough", Weights::Rough),
+                ("live", Weights::Live),
+            ],
+        ),
+        notes: r.choice(
+            "fleet",
+            "notes",
+            Notes::All,
+            &[("all", Notes::All), ("hit", Notes::HitOnly), ("none", Notes::None)],
+        ),
+        siblings: r.choice(
+            "fleet",
+            "siblings",
+            Siblings::OwnZone,
+            &[("none", Siblings::None), ("zone", Siblings::OwnZone), ("any", Siblings::Any)],
+        ),
+        straight: r.flag("fleet", "straight", true),
+        joins: r.flag("fleet", "joins", true),
+        may_cancel: true,
+        retry_after: r.flag("fleet", "retry_after", true),
+        max_retry_after: r.ms("fleet", "max_retry_after_ms", 1000.0, 0.0, 10.0 * MINUTE),
+        max_attempts: r.number("fleet", "max_attempts", 6, 1, 100),
+        stream_kb_per_s: r.number("fleet", "stream_kb_per_s", 6000.0, 1.0, 1e9),
+        cold_cache: cold(r, "cold cache"),
+        cold_parent: cold(r, "cold parent"),
+        purge_done: r.ms("fleet", "purge_done_ms", 6000.0, 0.0, 60.0 * MINUTE),
+    };
+    let group_segments = r.number("http", "group_segments", 2, 1, 16);
+    Some(EdgeSettings {
+        name,
+        router,
+        zones,
+        classes,
+        listen,
+        upstream,
+        answer_slack_us,
+        group_segments,
+        state_file,
+        members,
+        max_requests,
+    })
+}
+
+fn optional<T: std::str::FromStr>(r: &mut Reader, section: &str, key: &str, what: &str) -> Option<T> {
+    let text = r.text(section, key).filter(|t| !t.is_empty())?;
+    match text.parse() {
+        Ok(value) => Some(value),
+        Err(_) => {
+            r.complain(section, key, &format!("{text:?} is not {what}"));
+            None
+        }
+    }
+}
+
+fn listen(r: &mut Reader) -> Listen {
+    let mut address = |key: &str| optional(r, "listen", key, "an address and port, such as 127.0.0.1:8080");
+    let (http, framed) = (address("http"), address("framed"));
+    let (control, metrics) = (address("control"), address("metrics"));
+    if http.is_none() && framed.is_none() {
+        r.complain("listen", "", "neither http nor framed: no client could come");
+    }
+    Listen {
+        http,
+        framed,
+        control,
+        metrics,
+        max_connections: r.number("listen", "max_connections", 10_000, 1, 10_000_000),
+        max_streams: r.number("listen", "max_streams", 256, 1, 100_000),
+        idle_us: r.ms("listen", "idle_ms", MINUTE, 10.0, 60.0 * MINUTE),
+        head_us: r.ms("listen", "head_timeout_ms", 5_000.0, 10.0, 10.0 * MINUTE),
+        drain_us: r.ms("listen", "drain_ms", 10_000.0, 0.0, 10.0 * MINUTE),
+    }
+}
+
+fn class(r: &mut Reader, name: String) -> (ClassSpec, Class) {
+    let section = format!("class {name}");
+    let path_prefix = r.text(&section, "path_prefix").filter(|p| !p.is_empty());
+    if path_prefix.as_ref().is_some_and(|p| !p.starts_with('/')) {
+        r.complain(&section, "path_prefix", "a path begins with /");
+    }
+    let deadline_us = r.ms(&section, "deadline_ms", 2_500.0, 10.0, 60.0 * MINUTE);
+    let aim = r.ms(&section, "aim_ms", 300.0, 1.0, 60.0 * MINUTE);
+    if aim > deadline_us {
+        r.complain(&section, "aim_ms", "later than deadline_ms");
+    }
+    let group = r.choice(
+        &section,
+        "key_group",
+        KeyGroup::All,
+        &[("all", KeyGroup::All), ("zone", KeyGroup::Zone), ("cell", KeyGroup::Cell)],
+    );
+    let window = r.ms(&section, "key_window_ms", 2_000.0, 1.0, 60.0 * MINUTE);
+    let repeat = r.choice(
+        &section,
+        "repeat",
+        Repeat::Safe,
+        &[("safe", Repeat::Safe), ("keyed", Repeat::Keyed { group, window }), ("unsafe", Repeat::Unsafe)],
+    );
+    let uncacheable = r.flag(&section, "uncacheable", false);
+    if uncacheable && path_prefix.is_some() {
+        // HTTP at the door is GET and HEAD, which say that they change nothing.
+        r.complain(&section, "path_prefix", "uncacheable classes come by the framed protocol only");
+    }
+    if !uncacheable && repeat != Repeat::Safe {
+        r.complain(&section, "repeat", "what may be kept is safe to repeat; set uncacheable = yes");
+    }
+    let class = Class {
+        aim,
+        aim_stretch: r.number(&section, "aim_stretch", 2.0, 0.0, 1000.0),
+        worth: r.number(&section, "worth", 1.0, 0.0, 1e9),
+        repeat,
+        uncacheable,
+        fresh: r.ms(&section, "fresh_ms", 0.0, 0.0, 1e9),
+        grace: r.ms(&section, "grace_ms", 0.0, 0.0, 1e9),
+    };
+    if class.grace > 0 && class.fresh == 0 {
+        r.complain(&section, "grace_ms", "without fresh_ms a copy never grows old");
+    }
+    (ClassSpec { name, path_prefix, deadline_us }, class)
+}
+
+fn cold(r: &mut Reader, section: &str) -> ColdRule {
+    ColdRule {
+        start_share: r.number(section, "start_share", 0.2, 0.0, 1.0),
+        warm_within: r.ms(section, "warm_within_ms", 20_000.0, 0.0, 60.0 * MINUTE),
+        multiple: r.number(section, "multiple", 2.0, 0.1, 1000.0),
+        window: r.ms(section, "window_ms", 1_000.0, 1.0, 10.0 * MINUTE),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/core/list.rs
@@ -0,0 +1,145 @@
+//! The member list in force: numbers, addresses, and when each process started by this dispatcher's clock.
+use pointspindle::*;
+use pointspindle_config::Role;
+use pointspindle_wire::{ListForm, ListHead, MemberLine, WireState};
+use std::collections::BTreeMap;
+
+/// Lines of gone members are dropped after this: a member back sooner in the same start must keep the same
+/// starting time, or the router would take it for another process.
+const KEEP_GONE: Micros = 60_000_000;
+
+/// What became of an update.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListNews {
+    /// Number of the list in force.
+    pub seq: u64,
+    /// Why the whole list is needed; none: nothing is missing.
+    pub wanted: Option<String>,
+    /// Lines that could not be read, with the reason.
+    pub bad: Vec<String>,
+}
+
+#[derive(Debug)]
+struct Line {
+    line: MemberLine,
+    /// By this dispatcher's clock; 0: long ago.
+    started: Micros,
+    gone: Option<Micros>,
+}
+
+#[derive(Debug)]
+pub struct MemberList {
+    zones: Vec<String>,
+    lines: BTreeMap<MemberId, Line>,
+    /// The last number up to which nothing is missing, and the newest seen.
+    seq: u64,
+    newest: u64,
+}
+
+impl MemberList {
+    pub fn new(zones: &[String]) -> Self {
+        Self { zones: zones.to_vec(), lines: BTreeMap::new(), seq: 0, newest: 0 }
+    }
+
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// Where to send to; none for a member that is gone or was never listed.
+    pub fn address(&self, id: MemberId) -> Option<String> {
+        self.lines.get(&id).filter(|l| l.gone.is_none()).map(|l| l.line.address.clone())
+    }
+
+    /// Judges an update. One of the past is left out; of one after a gap every line is newer than what is
+    /// known, so all are taken (a drain must not wait for the list), but the whole list stays wanted.
+    pub fn take(&mut self, now: Micros, head: ListHead) -> (Option<Event>, ListNews) {
+        let update = match head.form() {
+            ListForm::Full => ListUpdate::Full,
+            ListForm::Cached => ListUpdate::Cached,
+            ListForm::Failed => ListUpdate::Failed,
+            ListForm::Delta | ListForm::Unspecified => ListUpdate::Delta,
+        };
+        let mut bad = Vec::new();
+        let mut wanted = None;
+        match update {
+            ListUpdate::Full | ListUpdate::Cached => (self.seq, self.newest) = (head.seq, head.seq),
+            ListUpdate::Failed => {
+                let event = Event::Members { update, entries: Vec::new() };
+                return (Some(event), ListNews { seq: self.seq, wanted, bad });
+            }
+            ListUpdate::Delta if head.seq <= self.newest => {
+                return (None, ListNews { seq: self.seq, wanted, bad });
+            }
+            ListUpdate::Delta => {
+                self.newest = head.seq;
+                if head.seq == self.seq + 1 {
+                    self.seq = head.seq;
+                } else {
+                    wanted = Some(format!("delta {} came after list {}", head.seq, self.seq));
+                }
+            }
+        }
+        let mut entries = Vec::new();
+        for line in head.members {
+            match self.entry(now, &line) {
+                Ok(entry) => {
+                    let (started, gone) = (entry.started, (entry.state == MemberState::Gone).then_some(now));
+                    self.lines.insert(entry.id, Line { line, started, gone });
+                    entries.push(entry);
+                }
+                Err(reason) => bad.push(format!("{}: {reason}", line.address)),
+            }
+        }
+        if update != ListUpdate::Delta {
+            for (id, line) in &mut self.lines {
+                if !entries.iter().any(|e| e.id == *id) {
+                    line.gone.get_or_insert(now);
+                }
+            }
+        }
+        self.lines.retain(|_, l| l.gone.is_none_or(|at| now < at + KEEP_GONE));
+        (Some(Event::Members { update, entries }), ListNews { seq: self.seq, wanted, bad })
+    }
+
+    fn entry(&self, now: Micros, line: &MemberLine) -> Result<MemberEntry, String> {
+        let id = MemberId::named(&line.address);
+        if line.address.parse::<std::net::SocketAddr>().is_err() {
+            return Err("not an address and port".into());
+        }
+        let zone = self.zones.iter().position(|z| *z == line.zone);
+        let role = Role::of(&line.kind).ok_or_else(|| format!("unknown kind {:?}", line.kind))?;
+        let state = match line.state() {
+            WireState::Ready => MemberState::Ready,
+            WireState::Draining => MemberState::Draining,
+            WireState::Gone => MemberState::Gone,
+            WireState::Unspecified => return Err("no state".into()),
+        };
+        // The same start keeps the moment that it was first given: told ages jitter.
+        let known = self.lines.get(&id).filter(|l| l.line.start == line.start);
+        let started = match (known, line.started_ago_us) {
+            (Some(known), _) => known.started,
+            (None, Some(ago)) => now.saturating_sub(ago).max(1),
+            (None, None) => 0,
+        };
+        Ok(MemberEntry {
+            id,
+            state,
+            weight: line.weight,
+            // A zone that is not in the settings is nobody's here: its caches are not used, parents are.
+            zone: zone.unwrap_or(self.zones.len()),
+            kind: role.kind(),
+            cell: line.cell,
+            started,
+        })
+    }
+
+    /// The whole list in force, as it would be told now.
+    pub fn whole(&self, now: Micros) -> ListHead {
+        let listed = self.lines.values().filter(|l| l.gone.is_none());
+        let line = |l: &Line| MemberLine {
+            started_ago_us: (l.started > 0).then(|| now.saturating_sub(l.started)),
+            ..l.line.clone()
+        };
+        ListHead { form: ListForm::Full as i32, seq: self.seq, members: listed.map(line).collect() }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/core/mod.rs
@@ -0,0 +1,420 @@
+//! The dispatcher without I/O: request table, timers, member list and purges around one router.
+//!
+//! [`Core::handle`] takes one [`Input`] with the time at which it happened and appends [`Output`]s, to be carried out in
+//! order. Between inputs, call it with [`Input::Tick`] at [`Core::next_timer`] or soon after.
+//!
+//! Kept: an entry for each open request, dropped with its last attempt's end; two timers for each at most; a
+//! line for each listed member, dropped a minute after it is gone; purges until no older copy can be left.
+mod list;
+mod purges;
+pub mod state;
+mod timers;
+
+use list::MemberList;
+use pointspindle::*;
+use pointspindle_config::EdgeSettings;
+use pointspindle_wire::{ListHead, PurgeHead, WireNote, WireStatus};
+use purges::PurgeLog;
+use std::collections::{BTreeMap, VecDeque};
+use timers::Timers;
+
+pub use list::ListNews;
+
+/// A client's request as the door tells it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    pub class: usize,
+    pub object: String,
+    pub part: u64,
+    pub group: u64,
+    /// Time that the client still waits.
+    pub left: Micros,
+    /// Bytes of the answer, where told.
+    pub size: Option<u64>,
+}
+
+/// How an attempt ended, as the shell saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AttemptEnd {
+    /// The whole answer has come.
+    Complete,
+    /// The member said so, with an error frame.
+    Told { status: WireStatus, note: WireNote, may_have_run: bool },
+    /// No connection; nothing was sent.
+    ConnectFailed,
+    /// Nothing was sent for want of a place on the connection.
+    NotSent,
+    /// The connection broke; it may have run.
+    Broken,
+}
+
+/// What the core is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// The number is the shell's own, never used before.
+    Request(u64, Ask),
+    /// The head of an attempt's answer has come; nothing of it has been passed on yet.
+    Head { request: u64, attempt: u32, note: WireNote },
+    Ended { request: u64, attempt: u32, end: AttemptEnd },
+    /// The client has left, or its answer is finished with an error on its side.
+    Gone(u64),
+    Members(ListHead),
+    Purge(PurgeHead),
+    /// Time has passed.
+    Tick,
+}
+
+/// Where a miss is filled from, with the source by address.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FetchOrder {
+    pub source: Option<String>,
+    pub keep: u8,
+    pub age: Micros,
+    pub join: bool,
+    pub held_only: bool,
+    pub renew: bool,
+}
+
+/// What the shell is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    Send { request: u64, attempt: u32, member: String, timeout: Micros, fetch: Option<FetchOrder> },
+    /// Cancel at the member; nothing of this attempt is told any more.
+    Abort { request: u64, attempt: u32 },
+    /// Pass the answer on from its head.
+    Commit { request: u64, attempt: u32 },
+    /// Final: a retry is harmless.
+    Refuse { request: u64, retry_after: Option<Micros> },
+    /// Final: no promise.
+    Fail { request: u64 },
+    /// Final, after the head was passed on: the answer stays incomplete and the client must see that.
+    Break { request: u64 },
+    /// The list in force, after [`Input::Members`].
+    List(ListNews),
+}
+
+/// Counts of how attempts ended, for metrics; told with [`Core::take_ends`].
+pub type Ends = BTreeMap<&'static str, u64>;
+
+#[derive(Debug)]
+struct Attempt {
+    number: u32,
+    member: MemberId,
+    sent: Micros,
+    due: Micros,
+    note: WireNote,
+}
+
+#[derive(Debug, Default)]
+struct Open {
+    /// Attempts made so far; the router numbers them in this order.
+    attempts: u32,
+    out: Option<Attempt>,
+    /// The answer is being passed on: no other attempt may follow.
+    committed: bool,
+    /// It has had its final answer, or its client has left.
+    done: bool,
+}
+
+/// See the module's documentation.
+#[derive(Debug)]
+pub struct Core {
+    router: Router,
+    list: MemberList,
+    purges: PurgeLog,
+    answer_slack: Micros,
+    open: BTreeMap<u64, Open>,
+    timers: Timers,
+    actions: Vec<Action>,
+    ends: Ends,
+}
+
+impl Core {
+    pub fn new(settings: &EdgeSettings, seed: u64) -> Self {
+        Self {
+            router: Router::new(settings.router.clone(), seed),
+            list: MemberList::new(&settings.zones),
+            purges: PurgeLog::new(settings.router.purge_done),
+            answer_slack: settings.answer_slack_us,
+            open: BTreeMap::new(),
+            timers: Timers::default(),
+            actions: Vec::new(),
+            ends: Ends::new(),
+        }
+    }
+
+    /// When [`Input::Tick`] is next wanted.
+    pub fn next_timer(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    pub fn open_requests(&self) -> usize {
+        self.open.values().filter(|o| !o.done).count()
+    }
+
+    /// Number of the list in force; 0: none yet.
+    pub fn list_seq(&self) -> u64 {
+        self.list.seq()
+    }
+
+    pub fn members(&self, now: Micros) -> ListHead {
+        self.list.whole(now)
+    }
+
+    /// How attempts ended since this was last asked.
+    pub fn take_ends(&mut self) -> Ends {
+        std::mem::take(&mut self.ends)
+    }
+
+    /// What is worth keeping over a restart.
+    pub fn snapshot(&mut self, now: Micros) -> state::Snapshot {
+        state::Snapshot::new(self.list.whole(now), self.purges.recent(now))
+    }
+
+    /// Takes one input and appends what to do about it. `now` never runs backwards.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Request(id, ask) => {
+                self.open.insert(id, Open::default());
+                let request = Request {
+                    id: RequestId(id),
+                    class: ask.class,
+                    object: ObjectId::named(&ask.object),
+                    part: ask.part,
+                    group: ask.group,
+                    left: ask.left.saturating_sub(self.answer_slack),
+                    kb: ask.size.map(|bytes| bytes as f64 / 1024.0),
+                };
+                self.drive(now, Event::Request(request), out);
+            }
+            Input::Head { request, attempt, note } => {
+                let Some(open) = self.open.get_mut(&request).filter(|o| !o.done) else { return };
+                let Some(sent) = open.out.as_mut().filter(|a| a.number == attempt) else { return };
+                sent.note = note;
+                let member = sent.member;
+                open.committed = true;
+                out.push(Output::Commit { request, attempt });
+                self.drive(now, Event::Begun(member), out);
+            }
+            Input::Ended { request, attempt, end } => {
+                let (status, note) = match end {
+                    AttemptEnd::Complete => (Status::Ok, None),
+                    AttemptEnd::ConnectFailed => (Status::ConnectFailed, None),
+                    AttemptEnd::NotSent => (Status::Moot, None),
+                    AttemptEnd::Broken => (Status::Reset, None),
+                    AttemptEnd::Told { status, note, may_have_run } => {
+                        // A status that promises more than the frame's own word is not believed.
+                        let status = match status {
+                            WireStatus::Full if !may_have_run => Status::Full,
+                            WireStatus::Miss if !may_have_run => Status::Miss,
+                            _ => Status::Error,
+                        };
+                        (status, Some(note))
+                    }
+                };
+                self.attempt_over(now, request, attempt, status, note, out);
+            }
+            Input::Gone(request) => {
+                let Some(open) = self.open.get_mut(&request) else { return };
+                if !open.done {
+                    open.done = true;
+                    self.drive(now, Event::Hangup(RequestId(request)), out);
+                }
+                self.forget_if_over(request);
+            }
+            Input::Members(head) => {
+                let (event, news) = self.list.take(now, head);
+                out.push(Output::List(news));
+                if let Some(event) = event {
+                    self.drive(now, event, out);
+                }
+            }
+            Input::Purge(head) => {
+                let object = head.object.as_deref().map(ObjectId::named);
+                self.purges.add(now, &head);
+                self.drive(now, Event::Purge { object, group: head.group, age: head.age_us }, out);
+            }
+            Input::Tick => self.tick(now, out),
+        }
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        while let Some(timer) = self.timers.due(now) {
+            match timer {
+                timers::Timer::Router(token) => self.drive(now, Event::Timer(token), out),
+                timers::Timer::Attempt(request, attempt) => {
+                    if self.is_out(request, attempt) {
+                        out.push(Output::Abort { request, attempt });
+                        self.attempt_over(now, request, attempt, Status::Timeout, None, out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_out(&self, request: u64, attempt: u32) -> bool {
+        self.open.get(&request).and_then(|o| o.out.as_ref()).is_some_and(|a| a.number == attempt)
+    }
+
+    /// An attempt is over: the router hears of it once, and a request whose answer was being passed on ends.
+    fn attempt_over(
+        &mut self,
+        now: Micros,
+        request: u64,
+        attempt: u32,
+        status: Status,
+        note: Option<WireNote>,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.is_out(request, attempt) {
+            return;
+        }
+        let Some(open) = self.open.get_mut(&request) else { return };
+        if open.committed && !open.done {
+            open.done = true;
+            if status != Status::Ok {
+                out.push(Output::Break { request });
+            }
+        }
+        if let Some(event) = self.outcome(now, request, status, note) {
+            self.drive(now, event, out);
+        }
+        self.forget_if_over(request);
+    }
+
+    /// Takes the attempt off the table and words its end for the router.
+    fn outcome(
+        &mut self,
+        now: Micros,
+        request: u64,
+        status: Status,
+        note: Option<WireNote>,
+    ) -> Option<Event> {
+        let open = self.open.get_mut(&request)?;
+        let attempt = open.out.take()?;
+        self.timers.cancel(attempt.due, timers::Timer::Attempt(request, attempt.number));
+        *self.ends.entry(status_word(status)).or_default() += 1;
+        Some(Event::Outcome(Outcome {
+            request: RequestId(request),
+            attempt: attempt.number,
+            member: attempt.member,
+            status,
+            note: note_of(note.unwrap_or(attempt.note)),
+            elapsed: now.saturating_sub(attempt.sent),
+            closed: open.committed,
+        }))
+    }
+
+    /// Tells the router, and what follows at once from what it wants, until it wants nothing more.
+    fn drive(&mut self, now: Micros, first: Event, out: &mut Vec<Output>) {
+        let mut events = VecDeque::from([first]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send { request, member, timeout, fetch } => {
+                        events.extend(self.send(now, request.0, member, timeout, fetch, out));
+                    }
+                    Action::Cancel { request, attempt } => {
+                        if self.is_out(request.0, attempt) {
+                            out.push(Output::Abort { request: request.0, attempt });
+                            events.extend(self.outcome(now, request.0, Status::Cancelled, None));
+                            self.forget_if_over(request.0);
+                        }
+                    }
+                    Action::Refuse { request, retry_after } => {
+                        if self.finish(request.0) {
+                            out.push(Output::Refuse { request: request.0, retry_after });
+                        }
+                    }
+                    Action::Fail { request } => {
+                        if self.finish(request.0) {
+                            out.push(Output::Fail { request: request.0 });
+                        }
+                    }
+                    Action::Timer { after, token } => {
+                        self.timers.set(now + after, timers::Timer::Router(token));
+                    }
+                }
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        request: u64,
+        member: MemberId,
+        timeout: Micros,
+        fetch: Option<Fetch>,
+        out: &mut Vec<Output>,
+    ) -> Option<Event> {
+        let open = self.open.get_mut(&request)?;
+        let (number, due) = (open.attempts, now + timeout);
+        open.attempts += 1;
+        open.out = Some(Attempt { number, member, sent: now, due, note: WireNote::Untold });
+        let address = self.list.address(member);
+        let source = fetch.as_ref().filter(|f| f.source != member).map(|f| self.list.address(f.source));
+        // A member that the list no longer names, as receiver or source: nothing was sent.
+        let (Some(address), None | Some(Some(_))) = (address, &source) else {
+            return self.outcome(now, request, Status::Moot, None);
+        };
+        self.timers.set(due, timers::Timer::Attempt(request, number));
+        let fetch = fetch.map(|f| FetchOrder {
+            source: source.flatten(),
+            keep: f.keep,
+            age: f.age,
+            join: f.join,
+            held_only: f.held_only,
+            renew: f.renew,
+        });
+        out.push(Output::Send { request, attempt: number, member: address, timeout, fetch });
+        None
+    }
+
+    /// Marks a request as answered; false if it was before.
+    fn finish(&mut self, request: u64) -> bool {
+        let Some(open) = self.open.get_mut(&request) else { return false };
+        let first = !std::mem::replace(&mut open.done, true);
+        self.forget_if_over(request);
+        first
+    }
+
+    fn forget_if_over(&mut self, request: u64) {
+        if self.open.get(&request).is_some_and(|o| o.done && o.out.is_none()) {
+            self.open.remove(&request);
+        }
+    }
+}
+
+fn status_word(status: Status) -> &'static str {
+    match status {
+        Status::Ok => "ok",
+        Status::Error => "error",
+        Status::Full => "full",
+        Status::Timeout => "timeout",
+        Status::ConnectFailed => "connect_failed",
+        Status::Reset => "reset",
+        Status::Cancelled => "cancelled",
+        Status::Moot => "not_sent",
+        Status::Miss => "miss",
+    }
+}
+
+fn note_of(note: WireNote) -> Note {
+    match note {
+        WireNote::Untold => Note::Untold,
+        WireNote::Hit => Note::Hit,
+        WireNote::Filled => Note::Filled,
+        WireNote::FilledByOrigin => Note::FilledByOrigin,
+        WireNote::Joined => Note::Joined,
+        WireNote::Old => Note::Old,
+        WireNote::SourceRefused => Note::SourceRefused,
+        WireNote::SourceUnreachable => Note::SourceUnreachable,
+        WireNote::SourceLacks => Note::SourceLacks,
+        WireNote::NoFillPlace => Note::NoFillPlace,
+        WireNote::OriginFailed => Note::OriginFailed,
+    }
+}
--- /dev/null
+++ b/crates/link/src/call.rs
@@ -0,0 +1,159 @@
+//! The two handles of a stream: the caller's [`Call`] and the answerer's [`Responder`].
+use crate::credit::Credit;
+use crate::tasks::{Out, Shared};
+use crate::LinkError;
+use bytes::Bytes;
+use pointspindle_wire::streams::STREAM_WINDOW;
+use pointspindle_wire::*;
+use std::sync::Arc;
+use tokio::sync::{mpsc, watch};
+
+/// What comes back on a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    Head(AnswerHead),
+    Data(Bytes),
+    End(CallEnd),
+}
+
+/// How a call ended; nothing comes after it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallEnd {
+    Complete(EndHead),
+    Error(ErrorHead),
+    /// The connection is gone; the work may have run.
+    Broken(String),
+}
+
+/// A request of ours under way. Dropped before its end, it is cancelled at the peer.
+#[derive(Debug)]
+pub struct Call {
+    pub(crate) id: u32,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) parts: mpsc::UnboundedReceiver<Part>,
+    pub(crate) ended: bool,
+    /// Bytes taken whose credit has not been given back yet.
+    pub(crate) taken: u32,
+}
+
+impl Call {
+    /// The next part; none after the end.
+    pub async fn next(&mut self) -> Option<Part> {
+        if self.ended {
+            return None;
+        }
+        let part = self.parts.recv().await;
+        let part = part.unwrap_or_else(|| Part::End(CallEnd::Broken(self.shared.why_closed())));
+        match &part {
+            Part::Data(data) => self.took(data.len() as u32),
+            Part::End(_) => self.ended = true,
+            Part::Head(_) => {}
+        }
+        Some(part)
+    }
+
+    /// Gives credit back in halves of the window: a frame for every chunk would double the frames.
+    fn took(&mut self, bytes: u32) {
+        self.taken += bytes;
+        if self.taken >= STREAM_WINDOW / 2 {
+            self.shared.give_back(self.id, self.taken);
+            self.taken = 0;
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.shared.forget(self.id);
+        if !self.ended {
+            let reason = String::new();
+            self.shared.push(Out::Frame(Frame::Cancel(self.id, CancelHead { reason })));
+        }
+    }
+}
+
+/// A request of the peer, to be answered. Dropped without an end, it answers with an error that may have run.
+#[derive(Debug)]
+pub struct Responder {
+    pub(crate) id: u32,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) credit: Arc<Credit>,
+    pub(crate) gone: watch::Receiver<bool>,
+    pub(crate) sent: u64,
+    pub(crate) ended: bool,
+}
+
+impl Responder {
+    /// Returns when the peer has cancelled or the connection is gone.
+    pub async fn gone(&self) {
+        let mut gone = self.gone.clone();
+        let _ = gone.wait_for(|gone| *gone).await;
+    }
+
+    pub fn is_gone(&self) -> bool {
+        *self.gone.borrow()
+    }
+
+    pub async fn head(&mut self, head: AnswerHead) -> Result<(), LinkError> {
+        self.send(Frame::Head(self.id, head)).await
+    }
+
+    /// Sends bytes of the body, waiting for credit. Cancel-safe only between calls.
+    pub async fn data(&mut self, mut data: Bytes) -> Result<(), LinkError> {
+        while !data.is_empty() {
+            let want = data.len().min(MAX_DATA) as u32;
+            let closed = || LinkError::Cancelled(self.shared.why_closed());
+            let got = self.credit.take(want).await.ok_or_else(closed)?;
+            let mut left = got;
+            while left > 0 {
+                let now = self.shared.connection_credit.take(left).await.ok_or_else(closed)?;
+                let piece = data.split_to(now as usize);
+                self.sent += piece.len() as u64;
+                left -= now;
+                self.send(Frame::Data(self.id, piece)).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// The complete end.
+    pub async fn end(mut self, load: Option<LoadReport>) -> Result<(), LinkError> {
+        self.ended = true;
+        let bytes = self.sent;
+        self.send(Frame::End(self.id, EndHead { bytes, load })).await
+    }
+
+    /// The other end, before or after the head.
+    pub async fn error(mut self, error: ErrorHead) -> Result<(), LinkError> {
+        self.ended = true;
+        self.send(Frame::Error(self.id, error)).await
+    }
+
+    /// Leaves the stream without a word, as a process that hangs would. For stand-ins.
+    pub fn leave_silent(mut self) {
+        self.ended = true;
+    }
+
+    async fn send(&self, frame: Frame) -> Result<(), LinkError> {
+        if self.is_gone() {
+            return Err(LinkError::Cancelled(self.shared.why_closed()));
+        }
+        self.shared.queue(frame).await
+    }
+}
+
+impl Drop for Responder {
+    fn drop(&mut self) {
+        self.shared.forget(self.id);
+        if !self.ended && !self.is_gone() {
+            let detail = "dropped unanswered".to_owned();
+            let error = ErrorHead {
+                status: WireStatus::Error as i32,
+                may_have_run: true,
+                detail,
+                ..Default::default()
+            };
+            self.shared.push(Out::Frame(Frame::Error(self.id, error)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,30 @@
+//! One framed connection as a pair of tokio tasks, for either end of it.
+//!
+//! A reader task judges frames with [`pointspindle_wire::streams`] and hands them to their streams; a writer
+//! task drains one queue and flushes when it is empty. Bodies are sent under credit: a sender waits for its
+//! stream's, then for the connection's, so the queue to the writer never holds more than the windows allow.
+//!
+//! Kept for each stream: an entry in one table and an unread buffer of at most
+//! [`STREAM_WINDOW`](pointspindle_wire::streams::STREAM_WINDOW) bytes; both are forgotten when its handle is dropped.
+#![forbid(unsafe_code)]
+
+mod call;
+mod credit;
+mod tasks;
+
+pub use call::{Call, CallEnd, Part, Responder};
+pub use tasks::{Inbound, Incoming, Link, LinkOptions};
+
+/// Why nothing could be sent, or nothing more will come.
+#[derive(Clone, Debug, thiserror::Error, PartialEq, Eq)]
+pub enum LinkError {
+    /// Nothing was sent.
+    #[error("the connection is closed: {0}")]
+    Closed(String),
+    /// Nothing was sent.
+    #[error("all {0} streams of the connection are in use")]
+    NoStream(usize),
+    /// The peer wants nothing more of this stream.
+    #[error("the peer has cancelled: {0}")]
+    Cancelled(String),
+}
--- /dev/null
+++ b/crates/link/src/tasks.rs
@@ -0,0 +1,375 @@
+//! The tasks of a connection and what they share with its handles.
+use crate::call::{Call, CallEnd, Part, Responder};
+use crate::credit::Credit;
+use crate::LinkError;
+use futures_util::{SinkExt, StreamExt};
+use pointspindle_wire::streams::*;
+use pointspindle_wire::*;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+/// Frames of bodies and answers that may wait for the writer; a sender waits beyond that.
+const WRITER_QUEUE: usize = 64;
+/// Requests and control frames of the peer that may wait to be taken; the reader waits beyond that.
+const INCOMING_QUEUE: usize = 64;
+/// Buffer of the writer before it waits for the socket.
+const WRITE_BUFFER: usize = 128 * 1024;
+
+#[derive(Clone, Copy, Debug)]
+pub struct LinkOptions {
+    pub max_streams: usize,
+}
+
+impl Default for LinkOptions {
+    fn default() -> Self {
+        Self { max_streams: MAX_STREAMS }
+    }
+}
+
+/// What the writer is given outside its bounded queue: rare, small, and must not wait (cancels, credit).
+#[derive(Debug)]
+pub(crate) enum Out {
+    Frame(Frame),
+    Close,
+}
+
+/// A stream as its handle left it in the table.
+#[derive(Debug)]
+enum Entry {
+    Call(mpsc::UnboundedSender<Part>),
+    Answer { credit: Arc<Credit>, gone: watch::Sender<bool> },
+}
+
+#[derive(Debug)]
+struct Table {
+    streams: Streams,
+    entries: HashMap<u32, Entry>,
+    closed: Option<String>,
+    going_away: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    table: Mutex<Table>,
+    most: usize,
+    queue: mpsc::Sender<Frame>,
+    urgent: mpsc::UnboundedSender<Out>,
+    pub(crate) connection_credit: Credit,
+    closed: watch::Sender<bool>,
+}
+
+impl Shared {
+    fn table(&self) -> std::sync::MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    pub(crate) fn push(&self, out: Out) {
+        let _ = self.urgent.send(out);
+    }
+
+    pub(crate) async fn queue(&self, frame: Frame) -> Result<(), LinkError> {
+        self.queue.send(frame).await.map_err(|_| LinkError::Closed(self.why_closed()))
+    }
+
+    pub(crate) fn forget(&self, id: u32) {
+        let mut table = self.table();
+        table.streams.close(id);
+        table.entries.remove(&id);
+    }
+
+    pub(crate) fn give_back(&self, id: u32, taken: u32) {
+        if self.table().streams.give_back(id, taken) {
+            self.push(Out::Frame(Frame::Credit(id, taken)));
+        }
+    }
+
+    pub(crate) fn why_closed(&self) -> String {
+        self.table().closed.clone().unwrap_or_else(|| "cancelled".into())
+    }
+
+    /// Ends every stream, once.
+    fn close(&self, why: &str) {
+        let entries = {
+            let mut table = self.table();
+            if table.closed.is_some() {
+                return;
+            }
+            table.closed = Some(why.to_owned());
+            std::mem::take(&mut table.entries)
+        };
+        self.connection_credit.close();
+        for entry in entries.into_values() {
+            match entry {
+                Entry::Call(parts) => {
+                    let _ = parts.send(Part::End(CallEnd::Broken(why.to_owned())));
+                }
+                Entry::Answer { credit, gone } => {
+                    credit.close();
+                    gone.send_replace(true);
+                }
+            }
+        }
+        self.push(Out::Close);
+        self.closed.send_replace(true);
+    }
+}
+
+/// What the peer wants of us.
+#[derive(Debug)]
+pub enum Inbound {
+    Request(RequestHead, Responder),
+    /// Lists, purges, acknowledgements, probes, go-away.
+    Control(Frame),
+}
+
+/// Requests and control frames of the peer, in the order of their arrival; ends with the connection.
+#[derive(Debug)]
+pub struct Incoming {
+    queue: mpsc::Receiver<Inbound>,
+}
+
+impl Incoming {
+    pub async fn next(&mut self) -> Option<Inbound> {
+        self.queue.recv().await
+    }
+}
+
+/// A handle of a connection; it closes when [`Link::close`] is called or the peer leaves.
+#[derive(Clone, Debug)]
+pub struct Link {
+    shared: Arc<Shared>,
+}
+
+impl Link {
+    /// Takes a connected socket over.
+    pub fn start(socket: TcpStream, side: Side, options: LinkOptions) -> (Self, Incoming) {
+        let _ = socket.set_nodelay(true);
+        let (read, write) = socket.into_split();
+        let (queue, queued) = mpsc::channel(WRITER_QUEUE);
+        let (urgent, urgents) = mpsc::unbounded_channel();
+        let (incoming, taken) = mpsc::channel(INCOMING_QUEUE);
+        let table = Table {
+            streams: Streams::new(side, options.max_streams),
+            entries: HashMap::new(),
+            closed: None,
+            going_away: false,
+        };
+        let shared = Arc::new(Shared {
+            table: Mutex::new(table),
+            most: options.max_streams,
+            queue,
+            urgent,
+            connection_credit: Credit::new(CONNECTION_WINDOW),
+            closed: watch::channel(false).0,
+        });
+        let mut frames = FramedWrite::new(write, FrameCodec::default());
+        frames.set_backpressure_boundary(WRITE_BUFFER);
+        tokio::spawn(write_all(frames, queued, urgents, shared.clone()));
+        let frames = FramedRead::new(read, FrameCodec::default());
+        tokio::spawn(read_all(frames, incoming, shared.clone()));
+        (Self { shared }, Incoming { queue: taken })
+    }
+
+    /// Sends a request. An error means that nothing was sent.
+    pub fn call(&self, request: RequestHead) -> Result<Call, LinkError> {
+        let (sender, parts) = mpsc::unbounded_channel();
+        let id = {
+            let mut table = self.shared.table();
+            if let Some(why) = &table.closed {
+                return Err(LinkError::Closed(why.clone()));
+            }
+            if table.going_away {
+                return Err(LinkError::Closed("the peer goes away".into()));
+            }
+            let id = table.streams.call().ok_or(LinkError::NoStream(self.shared.most))?;
+            table.entries.insert(id, Entry::Call(sender));
+            // Under the lock: requests reach the writer in the order of their numbers.
+            self.shared.push(Out::Frame(Frame::Request(id, request)));
+            id
+        };
+        Ok(Call { id, shared: self.shared.clone(), parts, ended: false, taken: 0 })
+    }
+
+    /// Sends a control frame.
+    pub async fn control(&self, frame: Frame) -> Result<(), LinkError> {
+        self.shared.queue(frame).await
+    }
+
+    /// Tells the peer that no new stream is served, serves those that are open.
+    pub fn go_away(&self, reason: &str) {
+        let last = u32::MAX;
+        self.shared.push(Out::Frame(Frame::GoAway(GoAwayHead { last, reason: reason.into() })));
+    }
+
+    pub fn close(&self, why: &str) {
+        self.shared.close(why);
+    }
+
+    pub fn is_closed(&self) -> bool {
+        *self.shared.closed.borrow()
+    }
+
+    /// Neither closed nor about to be: calls may go out on it.
+    pub fn takes_calls(&self) -> bool {
+        let table = self.shared.table();
+        table.closed.is_none() && !table.going_away
+    }
+
+    pub fn open_streams(&self) -> usize {
+        self.shared.table().entries.len()
+    }
+
+    pub async fn closed(&self) {
+        let mut closed = self.shared.closed.subscribe();
+        let _ = closed.wait_for(|closed| *closed).await;
+    }
+}
+
+type Reader = FramedRead<tokio::net::tcp::OwnedReadHalf, FrameCodec>;
+type Writer = FramedWrite<tokio::net::tcp::OwnedWriteHalf, FrameCodec>;
+
+async fn write_all(
+    mut frames: Writer,
+    mut queued: mpsc::Receiver<Frame>,
+    mut urgents: mpsc::UnboundedReceiver<Out>,
+    shared: Arc<Shared>,
+) {
+    loop {
+        // Urgent first: a cancel or credit must not wait behind bodies.
+        let out = tokio::select! {
+            biased;
+            out = urgents.recv() => out.unwrap_or(Out::Close),
+            frame = queued.recv() => frame.map_or(Out::Close, Out::Frame),
+        };
+        let Out::Frame(frame) = out else { break };
+        if let Err(e) = frames.feed(frame).await {
+            return shared.close(&format!("writing failed: {e}"));
+        }
+        let mut closing = false;
+        while let Some(out) = urgents.try_recv().ok().or_else(|| queued.try_recv().ok().map(Out::Frame)) {
+            let Out::Frame(frame) = out else {
+                closing = true;
+                break;
+            };
+            if let Err(e) = frames.feed(frame).await {
+                return shared.close(&format!("writing failed: {e}"));
+            }
+        }
+        if let Err(e) = frames.flush().await {
+            return shared.close(&format!("writing failed: {e}"));
+        }
+        if closing {
+            break;
+        }
+    }
+    let _ = frames.close().await;
+    shared.close("closed here");
+}
+
+async fn read_all(mut frames: Reader, incoming: mpsc::Sender<Inbound>, shared: Arc<Shared>) {
+    let mut closed = shared.closed.subscribe();
+    let mut unsorted = 0;
+    let why = loop {
+        let frame = tokio::select! {
+            frame = frames.next() => frame,
+            _ = closed.wait_for(|closed| *closed) => return,
+        };
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(e)) => break e.to_string(),
+            None => break "the peer closed the connection".to_owned(),
+        };
+        let body = if let Frame::Data(_, data) = &frame { data.len() as u32 } else { 0 };
+        match take(frame, &incoming, &shared).await {
+            Ok(()) => {}
+            Err(why) => break why,
+        }
+        unsorted += body;
+        if unsorted >= CONNECTION_WINDOW / 4 {
+            shared.table().streams.give_back_connection(unsorted);
+            shared.push(Out::Frame(Frame::Credit(0, unsorted)));
+            unsorted = 0;
+        }
+    };
+    shared.close(&why);
+}
+
+async fn take(frame: Frame, incoming: &mpsc::Sender<Inbound>, shared: &Arc<Shared>) -> Result<(), String> {
+    let asked = if let Frame::Request(id, _) = &frame { Some(*id) } else { None };
+    let received = shared.table().streams.receive(frame);
+    match received {
+        Ok(Received::Stream { id, frame: Frame::Request(_, head), .. }) => {
+            let responder = answer(id, shared);
+            // Waits when the owner is behind: the peer then waits for its socket, and nobody's memory grows.
+            let sent = incoming.send(Inbound::Request(head, responder)).await;
+            sent.map_err(|_| "nobody takes requests here".to_owned())
+        }
+        Ok(Received::Stream { id, frame, closed }) => {
+            let mut table = shared.table();
+            let part = match frame {
+                Frame::Head(_, head) => Part::Head(head),
+                Frame::Data(_, data) => Part::Data(data),
+                Frame::End(_, end) => Part::End(CallEnd::Complete(end)),
+                Frame::Error(_, error) => Part::End(CallEnd::Error(error)),
+                Frame::Cancel(..) => {
+                    if let Some(Entry::Answer { credit, gone }) = table.entries.remove(&id) {
+                        credit.close();
+                        gone.send_replace(true);
+                    }
+                    return Ok(());
+                }
+                _ => return Ok(()),
+            };
+            if let Some(Entry::Call(parts)) = table.entries.get(&id) {
+                let _ = parts.send(part);
+            }
+            if closed {
+                table.entries.remove(&id);
+            }
+            Ok(())
+        }
+        Ok(Received::Control(frame)) => {
+            if matches!(frame, Frame::GoAway(_)) {
+                shared.table().going_away = true;
+            }
+            let sent = incoming.send(Inbound::Control(frame)).await;
+            sent.map_err(|_| "nobody takes control frames here".to_owned())
+        }
+        Ok(Received::Credit { id, more }) => {
+            let granted = if id == 0 {
+                shared.connection_credit.grant(more)
+            } else {
+                match shared.table().entries.get(&id) {
+                    Some(Entry::Answer { credit, .. }) => credit.grant(more),
+                    _ => true,
+                }
+            };
+            granted.then_some(()).ok_or_else(|| StreamError::CreditTooLarge(id).to_string())
+        }
+        Ok(Received::Ignored { .. }) => Ok(()),
+        // Too many streams is the client's haste, not a broken peer: that one stream is turned away.
+        Err(StreamError::TooMany(most)) => {
+            let error = ErrorHead {
+                status: WireStatus::Full as i32,
+                detail: format!("{most} streams are open on this connection"),
+                ..Default::default()
+            };
+            if let Some(id) = asked {
+                shared.queue(Frame::Error(id, error)).await.map_err(|e| e.to_string())?;
+            }
+            Ok(())
+        }
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+fn answer(id: u32, shared: &Arc<Shared>) -> Responder {
+    let credit = Arc::new(Credit::new(STREAM_WINDOW));
+    let (sender, gone) = watch::channel(false);
+    let entry = Entry::Answer { credit: credit.clone(), gone: sender };
+    shared.table().entries.insert(id, entry);
+    Responder { id, shared: shared.clone(), credit, gone, sent: 0, ended: false }
+}
--- /dev/null
+++ b/crates/wire/src/messages.rs
@@ -0,0 +1,291 @@
+//! Heads of frames, as protocol buffers by derive: a peer skips fields that it does not know.
+//!
+//! Times are microseconds unless the name says otherwise; sizes are bytes unless the name says otherwise.
+use prost::Message;
+
+/// How an attempt ended, on the wire. The numbers are part of the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum WireStatus {
+    /// Never sent; what an absent field reads as.
+    Unspecified = 0,
+    /// It was tried and went wrong; it may have run.
+    Error = 1,
+    /// Turned away for want of room; nothing ran.
+    Full = 2,
+    /// Nothing suitable is held and no fill was asked for; nothing ran.
+    Miss = 3,
+    /// A dispatcher's final answer: refused; a retry is harmless.
+    Refused = 4,
+    /// A dispatcher's final answer: failed; no promise.
+    Failed = 5,
+}
+
+/// How an answer came about, or why its fill failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum WireNote {
+    Untold = 0,
+    Hit = 1,
+    Filled = 2,
+    FilledByOrigin = 3,
+    Joined = 4,
+    Old = 5,
+    SourceRefused = 6,
+    SourceUnreachable = 7,
+    SourceLacks = 8,
+    NoFillPlace = 9,
+    OriginFailed = 10,
+}
+
+/// What a cache does if it lacks the object, and which copies are good enough.
+#[derive(Clone, PartialEq, Message)]
+pub struct FetchHead {
+    /// Address of the source of a fill; empty: the receiver fills from nowhere.
+    #[prost(string, tag = "1")]
+    pub source: String,
+    /// 0 passes the object through, 1 to 3 is the rank at which the copy is kept.
+    #[prost(uint32, tag = "2")]
+    pub keep: u32,
+    /// Oldest copy that will do; 0: the receiver's fresh time for the class.
+    #[prost(uint64, tag = "3")]
+    pub age_us: u64,
+    #[prost(bool, tag = "4")]
+    pub join: bool,
+    #[prost(bool, tag = "5")]
+    pub held_only: bool,
+    #[prost(bool, tag = "6")]
+    pub renew: bool,
+}
+
+/// A request: from a client, from a dispatcher to a cache, or from a cache to its source.
+#[derive(Clone, PartialEq, Message)]
+pub struct RequestHead {
+    #[prost(string, tag = "1")]
+    pub object: String,
+    #[prost(uint64, tag = "2")]
+    pub part: u64,
+    /// Group for purges.
+    #[prost(uint64, tag = "3")]
+    pub group: u64,
+    #[prost(string, tag = "4")]
+    pub class: String,
+    /// Time left before the asker gives up.
+    #[prost(uint64, tag = "5")]
+    pub left_us: u64,
+    /// Size of the answer, where known.
+    #[prost(uint64, optional, tag = "6")]
+    pub size: Option<u64>,
+    #[prost(message, optional, tag = "7")]
+    pub fetch: Option<FetchHead>,
+    /// Names the client's request wherever it goes.
+    #[prost(string, tag = "8")]
+    pub trace: String,
+    /// Attempt within the dispatcher, from 0.
+    #[prost(uint32, tag = "9")]
+    pub attempt: u32,
+    /// The key of a keyed request; empty otherwise.
+    #[prost(string, tag = "10")]
+    pub key: String,
+    /// Only the head of the answer is wanted.
+    #[prost(bool, tag = "11")]
+    pub head_only: bool,
+    /// Validator that the asker holds: an answer with the same one carries no body (`not_modified`).
+    #[prost(string, tag = "12")]
+    pub if_none_match: String,
+    /// One byte range, as in HTTP (`bytes=…`); empty: the whole.
+    #[prost(string, tag = "13")]
+    pub range: String,
+    /// Validator under which the range is wanted; another one: the whole.
+    #[prost(string, tag = "14")]
+    pub if_range: String,
+}
+
+/// What members tell of their load.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct LoadReport {
+    /// Share of its cores that are busy.
+    #[prost(double, tag = "1")]
+    pub util: f64,
+    /// Recent share of hits.
+    #[prost(double, tag = "2")]
+    pub hits: f64,
+    /// How full the link of its location is; of a parent, the fetches that it has out.
+    #[prost(double, tag = "3")]
+    pub link: f64,
+}
+
+/// The head of an answer that has (or describes) a body.
+#[derive(Clone, PartialEq, Message)]
+pub struct AnswerHead {
+    #[prost(enumeration = "WireNote", tag = "1")]
+    pub note: i32,
+    /// Length of the body that follows, where known.
+    #[prost(uint64, optional, tag = "2")]
+    pub size: Option<u64>,
+    /// Time since the origin gave the copy out or last confirmed it.
+    #[prost(uint64, tag = "3")]
+    pub age_us: u64,
+    #[prost(string, tag = "4")]
+    pub validator: String,
+    #[prost(string, tag = "5")]
+    pub content_type: String,
+    /// The validator of the request still holds; no body follows.
+    #[prost(bool, tag = "6")]
+    pub not_modified: bool,
+    /// Of a range: its first byte, and the size of the whole.
+    #[prost(uint64, optional, tag = "7")]
+    pub range_first: Option<u64>,
+    #[prost(uint64, optional, tag = "8")]
+    pub whole_size: Option<u64>,
+    /// The range asked for lies outside; no body follows.
+    #[prost(bool, tag = "9")]
+    pub unsatisfiable: bool,
+    /// Time from the receiver's first sight of the request to this head.
+    #[prost(uint64, tag = "10")]
+    pub elapsed_us: u64,
+    #[prost(message, optional, tag = "11")]
+    pub load: Option<LoadReport>,
+    /// How long the copy stays fresh from now, where it grows old.
+    #[prost(uint64, optional, tag = "12")]
+    pub fresh_left_us: Option<u64>,
+    /// What the origin made of it, as an HTTP status; 0: 200.
+    #[prost(uint32, tag = "13")]
+    pub code: u32,
+}
+
+/// The end of a complete answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct EndHead {
+    /// Bytes of the body that were sent: a receiver that counted others has a broken answer.
+    #[prost(uint64, tag = "1")]
+    pub bytes: u64,
+    #[prost(message, optional, tag = "2")]
+    pub load: Option<LoadReport>,
+}
+
+/// The end of a request that has no complete answer, before or after the head.
+#[derive(Clone, PartialEq, Message)]
+pub struct ErrorHead {
+    #[prost(enumeration = "WireStatus", tag = "1")]
+    pub status: i32,
+    #[prost(enumeration = "WireNote", tag = "2")]
+    pub note: i32,
+    /// Whether the work may have run.
+    #[prost(bool, tag = "3")]
+    pub may_have_run: bool,
+    /// When a refused client may come back.
+    #[prost(uint64, optional, tag = "4")]
+    pub retry_after_us: Option<u64>,
+    #[prost(string, tag = "5")]
+    pub detail: String,
+    #[prost(message, optional, tag = "6")]
+    pub load: Option<LoadReport>,
+    #[prost(uint64, tag = "7")]
+    pub elapsed_us: u64,
+}
+
+/// Stop: nothing more is wanted on a stream.
+#[derive(Clone, PartialEq, Message)]
+pub struct CancelHead {
+    #[prost(string, tag = "1")]
+    pub reason: String,
+}
+
+/// No new streams above `last` will be served; those up to it still are.
+#[derive(Clone, PartialEq, Message)]
+pub struct GoAwayHead {
+    #[prost(uint32, tag = "1")]
+    pub last: u32,
+    #[prost(string, tag = "2")]
+    pub reason: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum ListForm {
+    Unspecified = 0,
+    Delta = 1,
+    Full = 2,
+    Cached = 3,
+    Failed = 4,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum WireState {
+    Unspecified = 0,
+    Ready = 1,
+    Draining = 2,
+    Gone = 3,
+}
+
+/// One member of the fleet.
+#[derive(Clone, PartialEq, Message)]
+pub struct MemberLine {
+    /// Host and port; also its name: the same at every dispatcher.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    #[prost(enumeration = "WireState", tag = "2")]
+    pub state: i32,
+    #[prost(double, tag = "3")]
+    pub weight: f64,
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    #[prost(string, tag = "5")]
+    pub kind: String,
+    #[prost(uint64, tag = "6")]
+    pub cell: u64,
+    /// Which start of the member this is; another number: another process in its place.
+    #[prost(uint64, tag = "7")]
+    pub start: u64,
+    /// How long ago it started; absent: long ago.
+    #[prost(uint64, optional, tag = "8")]
+    pub started_ago_us: Option<u64>,
+}
+
+/// News of the member list.
+#[derive(Clone, PartialEq, Message)]
+pub struct ListHead {
+    #[prost(enumeration = "ListForm", tag = "1")]
+    pub form: i32,
+    /// Grows by one with each update; a delta applies to the list numbered one less.
+    #[prost(uint64, tag = "2")]
+    pub seq: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub members: Vec<MemberLine>,
+}
+
+/// An object, or without one every object of the group, was purged.
+#[derive(Clone, PartialEq, Message)]
+pub struct PurgeHead {
+    #[prost(string, optional, tag = "1")]
+    pub object: Option<String>,
+    #[prost(uint64, tag = "2")]
+    pub group: u64,
+    #[prost(uint64, tag = "3")]
+    pub age_us: u64,
+    #[prost(uint64, tag = "4")]
+    pub seq: u64,
+}
+
+/// Answers a list or purge: it is in force here.
+#[derive(Clone, PartialEq, Message)]
+pub struct AckHead {
+    #[prost(uint64, tag = "1")]
+    pub seq: u64,
+    /// Why it is not in force; the sender should tell the whole list.
+    #[prost(string, tag = "2")]
+    pub trouble: String,
+}
+
+/// A probe and its echo.
+#[derive(Clone, PartialEq, Message)]
+pub struct ProbeHead {
+    #[prost(uint64, tag = "1")]
+    pub token: u64,
+    #[prost(bool, tag = "2")]
+    pub echo: bool,
+    #[prost(message, optional, tag = "3")]
+    pub load: Option<LoadReport>,
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -263,6 +263,9 @@
         entries: Vec<MemberEntry>,
     },
     Request(Request),
+    /// A member has begun to answer: it lives, however long the rest takes. Optional for a host whose answers
+    /// come whole; one that streams to slow clients tells it, or they would make the member look silent.
+    Begun(MemberId),
     Outcome(Outcome),
     /// The client has left.
     Hangup(RequestId),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,6 +69,11 @@
 const PURGE_MARGIN: Micros = 1_000 * MS;
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
 const KEY_MARGIN: Micros = 200 * MS;
+/// A member that is gone is forgotten after this, unless an attempt refers to it: longer than any hold, window or
+/// purge, so one that comes back under its number sooner finds its standing, and each deploy's leave in time.
+const FORGET: Micros = 60_000 * MS;
+/// Purges are looked through for old ones when there are more than this, then at twice what was left.
+const PURGES_FIRST: usize = 1024;
 /// Copies remembered as asked for before; two such tables are held.
 const SEEN_MOST: usize = 50_000;
 
@@ -101,6 +106,8 @@
     limit: f64,
     /// What was sent while it was cold: when, whose, sending time in seconds.
     spent: VecDeque<(Micros, RequestId, f64)>,
+    /// Since when it is gone.
+    gone: Option<Micros>,
 }
 
 #[derive(Debug, Clone)]
@@ -156,6 +163,8 @@
     asked: (f64, f64),
     object_purges: BTreeMap<ObjectId, Micros>,
     group_purges: BTreeMap<u64, Micros>,
+    /// Purges held when they are next looked through.
+    sweep_at: usize,
     /// Copies and the cache that served each; the older table goes when the newer is full.
     seen: [BTreeMap<(ObjectId, u64), MemberId>; 2],
 }
@@ -209,6 +218,7 @@
             asked: (0.0, 0.0),
             object_purges: BTreeMap::new(),
             group_purges: BTreeMap::new(),
+            sweep_at: PURGES_FIRST,
             seen: [BTreeMap::new(), BTreeMap::new()],
             set: settings,
         }
@@ -218,8 +228,11 @@
     pub fn handle(&mut self, now: Micros, event: Event, act: &mut Vec<Action>) {
         self.born.get_or_insert(now);
         match event {
-            Event::Members { update, entries } => self.on_members(update, entries),
+            Event::Members { update, entries } => self.on_members(now, update, entries),
             Event::Request(req) => self.on_request(now, req, act),
+            Event::Begun(member) => {
+                self.members.entry(member).and_modify(|m| m.heard = now);
+            }
             Event::Outcome(outcome) => self.on_outcome(now, outcome, act),
             Event::Hangup(id) => self.close(id, act),
             Event::Timer(_) => self.on_timer(now, act),
@@ -234,7 +247,7 @@
 
     // ---- membership
 
-    fn on_members(&mut self, update: ListUpdate, entries: Vec<MemberEntry>) {
+    fn on_members(&mut self, now: Micros, update: ListUpdate, entries: Vec<MemberEntry>) {
         if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
             let listed: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
             for m in self.members.values_mut().filter(|m| !listed.contains(&m.entry.id)) {
@@ -254,11 +267,27 @@
                     let (limit, health, spent) =
                         (LIMIT_FIRST * entry.weight, Health::default(), VecDeque::new());
                     let (out, out_kb, looks, fills, heard) = (0, 0.0, 0, 0, 0);
-                    let m = Member { entry, health, out, out_kb, looks, fills, heard, limit, spent };
+                    let gone = None;
+                    let m = Member { entry, health, out, out_kb, looks, fills, heard, limit, spent, gone };
                     self.members.insert(m.entry.id, m);
                 }
             }
         }
+        self.forget_gone(now);
+    }
+
+    /// Every choice looks at each member, so those of past deploys would make requests dearer for ever. One that
+    /// an open request has out, was filled from, or may have run at is kept: its zone and cell bound a resend.
+    fn forget_gone(&mut self, now: Micros) {
+        for m in self.members.values_mut() {
+            let since = m.gone.unwrap_or(now);
+            m.gone = (m.entry.state == MemberState::Gone).then_some(since);
+        }
+        let due = |m: &Member| m.out + m.fills == 0 && m.gone.is_some_and(|at| now >= at + FORGET);
+        if self.members.values().any(due) {
+            let ran: BTreeSet<MemberId> = self.open.values().filter_map(|o| o.ran).map(|r| r.1).collect();
+            self.members.retain(|id, m| !due(m) || ran.contains(id));
+        }
     }
 
     // ---- request
@@ -653,9 +682,10 @@
     fn on_purge(&mut self, now: Micros, object: Option<ObjectId>, group: u64, age: Micros) {
         let at = now.saturating_sub(age);
         let kept = self.set.purge_done + PURGE_MARGIN;
-        if self.object_purges.len() + self.group_purges.len() > 1024 {
+        if self.object_purges.len() + self.group_purges.len() > self.sweep_at {
             self.object_purges.retain(|_, t| *t + kept > now);
             self.group_purges.retain(|_, t| *t + kept > now);
+            self.sweep_at = PURGES_FIRST.max(2 * (self.object_purges.len() + self.group_purges.len()));
         }
         let newest = match object {
             Some(object) => self.object_purges.entry(object).or_default(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -273,3 +273,26 @@
         assert!(pushed(&mut s, 400, cold.id, true) <= 2.0 * 0.05, "{routers} {me:?} {here}");
     }
 }
+
+/// Slow readers hold their answers open for long; the cache that feeds them has begun to answer and lives.
+#[test]
+fn a_cache_that_has_begun_to_answer_is_not_silent() {
+    let run = |begun: bool| {
+        let mut stage = Stage::with(
+            settings(),
+            fleet().into_iter().filter(|e| e.kind != 0).chain([entry("c1", 0)]).collect(),
+        );
+        for n in 0..3 {
+            let sent = stage.ask(VIDEO, &format!("o{n}"));
+            assert_eq!(sent[0].member, MemberId::named("c1"));
+        }
+        stage.now += 10 * MS;
+        if begun {
+            stage.tell(Event::Begun(MemberId::named("c1")));
+        }
+        stage.wait(2 * S);
+        stage.last.iter().filter(|a| matches!(a, Action::Cancel { .. })).count()
+    };
+    assert_eq!(run(false), 3, "without a word it is silent");
+    assert_eq!(run(true), 0);
+}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -62,8 +62,9 @@
             }
             wire::Inbound::Reminder(r) => self.tell(r.dispatcher, Event::Timer(r.cookie))?,
             wire::Inbound::Voided(v) => self.tell(v.dispatcher, translate::purge(v))?,
-            // Peer messages, probe results and the start of streams carry nothing that a router uses.
-            wire::Inbound::NeighbourSays(i) | wire::Inbound::Echo(i) | wire::Inbound::Begun(i) => {
+            wire::Inbound::Begun(b) => self.tell(b.dispatcher, Event::Begun(MemberId::named(&b.host)))?,
+            // Peer messages and probe results carry nothing that a router uses.
+            wire::Inbound::NeighbourSays(i) | wire::Inbound::Echo(i) => {
                 if !self.instances.contains_key(&i.dispatcher) {
                     return Err(format!("message for unknown Dispatcher {}", i.dispatcher));
                 }
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -15,7 +15,7 @@
     Voided(Voided),
     Echo(Instance),
     Hangup(Hangup),
-    Begun(Instance),
+    Begun(Begun),
     Ended(Ended),
 }
 
@@ -50,6 +50,7 @@
     }
     Reminder { need { dispatcher: u64, cookie: u64 } may {} }
     Voided { need { dispatcher: u64 } may { group: u64, how_old_ms: f64, content_id: String } }
+    Begun { need { dispatcher: u64, host: String } may {} }
     Hangup { need { dispatcher: u64, req: u64 } may {} }
     Ended {
         need { dispatcher: u64, req: u64, state_code: String, host: String }
