--- /dev/null
+++ b/crates/cli/src/control.rs
@@ -0,0 +1,157 @@
+//! `pointspindle members` and `pointspindle purge`: words to running dispatchers.
+use crate::Failure;
+use pointspindle::ObjectId;
+use pointspindle_link::{Inbound, Link, LinkOptions};
+use pointspindle_wire::streams::Side;
+use pointspindle_wire::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Time for a dispatcher to answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+#[derive(clap::Args)]
+pub struct MembersArguments {
+    /// Control addresses of the dispatchers.
+    #[arg(long, required = true)]
+    at: Vec<SocketAddr>,
+    /// A change: ADDRESS=ready, ADDRESS=draining or ADDRESS=gone. Without any, the list is shown.
+    #[arg(long)]
+    set: Vec<String>,
+    /// For a new member: cache, parent or origin; its zone; its weight.
+    #[arg(long)]
+    kind: Option<String>,
+    #[arg(long)]
+    zone: Option<String>,
+    #[arg(long)]
+    weight: Option<f64>,
+    /// The member has started just now: it is cold.
+    #[arg(long)]
+    cold: bool,
+}
+
+#[derive(clap::Args)]
+pub struct PurgeArguments {
+    /// Control addresses of the dispatchers.
+    #[arg(long, required = true)]
+    at: Vec<SocketAddr>,
+    /// The object, as its path.
+    #[arg(long, required_unless_present_any = ["group", "group_of"])]
+    object: Option<String>,
+    /// A group by its number.
+    #[arg(long, conflicts_with = "object")]
+    group: Option<u64>,
+    /// The group of all paths that begin so, such as /video/12.
+    #[arg(long, conflicts_with_all = ["object", "group"])]
+    group_of: Option<String>,
+    /// How long ago it was purged, milliseconds.
+    #[arg(long, default_value_t = 0)]
+    age_ms: u64,
+}
+
+/// Sends one control frame and waits for the answer to it.
+async fn ask(at: SocketAddr, frame: Frame) -> Result<Frame, String> {
+    let talk = async {
+        let socket = TcpStream::connect(at).await.map_err(|e| e.to_string())?;
+        let (link, mut incoming) = Link::start(socket, Side::Caller, LinkOptions::default());
+        link.control(frame).await.map_err(|e| e.to_string())?;
+        let answer = incoming.next().await;
+        link.close("asked");
+        match answer {
+            Some(Inbound::Control(frame)) => Ok(frame),
+            _ => Err("the dispatcher closed the connection".to_owned()),
+        }
+    };
+    let answer = tokio::time::timeout(PATIENCE, talk).await;
+    answer
+        .unwrap_or_else(|_| Err(format!("no answer in {} s", PATIENCE.as_secs())))
+        .map_err(|e| format!("{at}: {e}"))
+}
+
+async fn list(at: SocketAddr) -> Result<ListHead, String> {
+    match ask(at, Frame::Members(ListHead::default())).await? {
+        Frame::Members(list) => Ok(list),
+        other => Err(format!("{at}: not a list: {other:?}")),
+    }
+}
+
+fn acknowledged(at: SocketAddr, answer: Frame) -> Result<(), String> {
+    match answer {
+        Frame::Ack(AckHead { trouble, .. }) if trouble.is_empty() => Ok(()),
+        Frame::Ack(AckHead { trouble, .. }) => Err(format!("{at}: {trouble}")),
+        other => Err(format!("{at}: not an acknowledgement: {other:?}")),
+    }
+}
+
+pub async fn members(arguments: MembersArguments) -> Result<(), Failure> {
+    for at in &arguments.at {
+        let mut now = list(*at).await?;
+        if !arguments.set.is_empty() {
+            let changes = arguments.set.iter().map(|set| change(set, &arguments, &now));
+            let members = changes.collect::<Result<Vec<_>, _>>()?;
+            let head = ListHead { form: ListForm::Delta as i32, seq: now.seq + 1, members };
+            acknowledged(*at, ask(*at, Frame::Members(head)).await?)?;
+            now = list(*at).await?;
+        }
+        println!("{at}: list {}, {} members", now.seq, now.members.len());
+        for m in &now.members {
+            let state = format!("{:?}", m.state()).to_lowercase();
+            let started = m
+                .started_ago_us
+                .map_or("long ago".to_owned(), |us| format!("{:.1} s ago", us as f64 / 1e6));
+            println!(
+                "  {:<22} {state:<9} {:<7} {:<12} weight {} started {started}",
+                m.address, m.kind, m.zone, m.weight
+            );
+        }
+    }
+    Ok(())
+}
+
+fn change(set: &str, arguments: &MembersArguments, now: &ListHead) -> Result<MemberLine, String> {
+    let usage = || format!("--set {set}: not ADDRESS=ready, ADDRESS=draining or ADDRESS=gone");
+    let (address, state) = set.split_once('=').ok_or_else(usage)?;
+    let state = match state {
+        "ready" => WireState::Ready,
+        "draining" => WireState::Draining,
+        "gone" => WireState::Gone,
+        _ => return Err(usage()),
+    };
+    let known = now.members.iter().find(|m| m.address == address).cloned();
+    let mut line = match known {
+        Some(line) => line,
+        None => MemberLine {
+            address: address.to_owned(),
+            kind: arguments.kind.clone().ok_or(format!("{address} is new: say its --kind"))?,
+            zone: arguments.zone.clone().ok_or(format!("{address} is new: say its --zone"))?,
+            weight: 1.0,
+            ..Default::default()
+        },
+    };
+    line.state = state as i32;
+    line.weight = arguments.weight.unwrap_or(line.weight);
+    if arguments.cold {
+        line.start += 1;
+        line.started_ago_us = Some(0);
+    }
+    Ok(line)
+}
+
+pub async fn purge(arguments: PurgeArguments) -> Result<(), Failure> {
+    let named = arguments.group_of.as_deref().map(|g| ObjectId::named(g.trim_end_matches('/')).0);
+    let group = named.or(arguments.group).unwrap_or(0);
+    let head = PurgeHead { object: arguments.object, group, age_us: arguments.age_ms * 1_000, seq: 1 };
+    let mut failed = Vec::new();
+    for at in &arguments.at {
+        // A purge that reached some is told to all the same: each keeps it alone.
+        match ask(*at, Frame::Purge(head.clone())).await.and_then(|answer| acknowledged(*at, answer)) {
+            Ok(()) => println!("{at}: purged"),
+            Err(e) => failed.push(e),
+        }
+    }
+    if failed.is_empty() {
+        return Ok(());
+    }
+    Err(Failure::CannotRun(failed.join("\n")))
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,97 @@
-fn main() {}
+//! The `pointspindle` program: arguments, logs and exit codes; everything else lives in the libraries.
+//!
+//! Exit codes: 0 well, 1 the answer is no (a broken rule, wrong settings), 2 it could not run.
+mod control;
+mod logs;
+mod serve;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A caching edge for web objects, with parent caches and an origin.
+#[derive(Parser)]
+#[command(name = "pointspindle", version, about)]
+struct Arguments {
+    /// What to log: error, warn, info, debug or trace.
+    #[arg(long, global = true, default_value = "info")]
+    log: tracing::Level,
+    /// Logs as JSON, a line each.
+    #[arg(long, global = true)]
+    log_json: bool,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a dispatcher; without a file, an embedded fleet with sample objects on loopback.
+    Serve(serve::Arguments),
+    /// Check a settings file; names file, line, key and reason of everything that is wrong.
+    Check { file: PathBuf },
+    /// Show the member list of a running dispatcher, or tell it changes.
+    Members(control::MembersArguments),
+    /// Tell running dispatchers that an object, or a group of objects, is purged.
+    Purge(control::PurgeArguments),
+}
+
+/// Why a command did not do what was asked.
+pub(crate) enum Failure {
+    /// The answer is no; it has been printed.
+    No,
+    /// It could not run.
+    CannotRun(String),
+}
+
+impl<E: std::fmt::Display> From<E> for Failure {
+    fn from(e: E) -> Self {
+        Self::CannotRun(e.to_string())
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    logs::start(arguments.log, arguments.log_json);
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("pointspindle: no runtime: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let done = runtime.block_on(async {
+        match arguments.command {
+            Command::Serve(arguments) => serve::run(arguments).await,
+            Command::Check { file } => check(&file),
+            Command::Members(arguments) => control::members(arguments).await,
+            Command::Purge(arguments) => control::purge(arguments).await,
+        }
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::No) => ExitCode::from(1),
+        Err(Failure::CannotRun(why)) => {
+            eprintln!("pointspindle: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn check(file: &std::path::Path) -> Result<(), Failure> {
+    match pointspindle_config::load(file) {
+        Ok(settings) => {
+            println!(
+                "{}: right; zone {}, {} classes, {} members",
+                file.display(),
+                settings.zones[settings.router.zone],
+                settings.classes.len(),
+                settings.members.len()
+            );
+            Ok(())
+        }
+        Err(complaints) => {
+            println!("{complaints}");
+            Err(Failure::No)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,92 @@
+//! `pointspindle serve`.
+use crate::Failure;
+use pointspindle_config::EdgeSettings;
+use pointspindle_edge::{Bound, Dispatcher};
+use pointspindle_lab::demo;
+use std::path::PathBuf;
+use tokio::signal::unix::{signal, SignalKind};
+
+#[derive(clap::Args)]
+pub struct Arguments {
+    /// Settings; see examples/edge.ini. Without one, an embedded fleet is started.
+    pub file: Option<PathBuf>,
+    /// Write the addresses that it listens on to this file, as JSON, once it does.
+    #[arg(long)]
+    pub ready_file: Option<PathBuf>,
+    /// Seed of what is drawn at random (timers only).
+    #[arg(long)]
+    pub seed: Option<u64>,
+    /// Port of HTTP in the embedded fleet; 0: any free one.
+    #[arg(long, default_value_t = 8080)]
+    pub port: u16,
+}
+
+pub async fn run(arguments: Arguments) -> Result<(), Failure> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let seed = arguments.seed.unwrap_or_else(|| std::process::id() as u64);
+    let (settings, fleet) = match &arguments.file {
+        Some(file) => (pointspindle_config::load(file)?, None),
+        None => {
+            let (settings, stage) = embedded(arguments.port).await?;
+            (settings, Some(stage))
+        }
+    };
+    let dispatcher = Dispatcher::start(settings, seed).await?;
+    if let Some(file) = &arguments.ready_file {
+        write_whole(file, &serde_json::to_vec(dispatcher.bound())?)?;
+    }
+    if fleet.is_some() {
+        try_it(dispatcher.bound());
+    }
+    tokio::select! {
+        _ = stop.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    if !dispatcher.stop().await {
+        return Err(Failure::CannotRun(
+            "some requests had no answer when the time to stop was over".into(),
+        ));
+    }
+    Ok(())
+}
+
+/// Whole or not at all: whoever waits for the file never reads half of it.
+fn write_whole(file: &std::path::Path, bytes: &[u8]) -> std::io::Result<()> {
+    let beside = file.with_extension("new");
+    std::fs::write(&beside, bytes)?;
+    std::fs::rename(beside, file)
+}
+
+/// Settings and members of a first try, all on loopback.
+async fn embedded(port: u16) -> Result<(EdgeSettings, pointspindle_lab::sockets::Stage), Failure> {
+    let (stage, members) = demo::start(["lesson-video", "test-page"], ["hub", "branch"]).await?;
+    let mut text = format!(
+        "[dispatcher]\nname = first-try\nzone = branch\nnumber = 0\n\
+         [listen]\nhttp = 127.0.0.1:{port}\nframed = 127.0.0.1:0\ncontrol = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n\
+         [zone hub]\n[zone branch]\ndispatchers = 1\n\
+         [class lesson-video]\npath_prefix = /video/\ndeadline_ms = 6000\naim_ms = 400\nworth = 2\n\
+         [class test-page]\npath_prefix = /\nfresh_ms = 12000\ngrace_ms = 20000\n"
+    );
+    for (n, m) in members.iter().enumerate() {
+        let (address, kind, zone, weight) = (&m.address, &m.kind, &m.zone, m.weight);
+        text += &format!(
+            "[member m{n}]\naddress = {address}\nkind = {kind}\nzone = {zone}\nweight = {weight}\n"
+        );
+    }
+    Ok((pointspindle_config::parse("embedded settings", &text)?, stage))
+}
+
+fn try_it(bound: &Bound) {
+    let Some(http) = bound.http else { return };
+    println!("a dispatcher, two cache hosts, a parent and an origin run here. Try:");
+    for (path, ..) in demo::SAMPLES {
+        println!("  curl -i http://{http}{path}");
+    }
+    if let Some(metrics) = bound.metrics {
+        println!("  curl http://{metrics}/metrics");
+    }
+    if let Some(control) = bound.control {
+        println!("  pointspindle members --at {control}");
+        println!("  pointspindle purge --at {control} --object /page/welcome");
+    }
+}
--- a/crates/edge/src/core/list.rs
+++ b/crates/edge/src/core/list.rs
@@ -2,7 +2,7 @@
 use pointspindle::*;
 use pointspindle_config::Role;
 use pointspindle_wire::{ListForm, ListHead, MemberLine, WireState};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Lines of gone members are dropped after this: a member back sooner in the same start must keep the same
 /// starting time, or the router would take it for another process.
@@ -83,7 +83,8 @@
         for line in head.members {
             match self.entry(now, &line) {
                 Ok(entry) => {
-                    let (started, gone) = (entry.started, (entry.state == MemberState::Gone).then_some(now));
+                    let (started, gone) =
+                        (entry.started, (entry.state == MemberState::Gone).then_some(now));
                     self.lines.insert(entry.id, Line { line, started, gone });
                     entries.push(entry);
                 }
@@ -91,8 +92,9 @@
             }
         }
         if update != ListUpdate::Delta {
+            let listed: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
             for (id, line) in &mut self.lines {
-                if !entries.iter().any(|e| e.id == *id) {
+                if !listed.contains(id) {
                     line.gone.get_or_insert(now);
                 }
             }
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -54,8 +54,16 @@
     /// The number is the shell's own, never used before.
     Request(u64, Ask),
     /// The head of an attempt's answer has come; nothing of it has been passed on yet.
-    Head { request: u64, attempt: u32, note: WireNote },
-    Ended { request: u64, attempt: u32, end: AttemptEnd },
+    Head {
+        request: u64,
+        attempt: u32,
+        note: WireNote,
+    },
+    Ended {
+        request: u64,
+        attempt: u32,
+        end: AttemptEnd,
+    },
     /// The client has left, or its answer is finished with an error on its side.
     Gone(u64),
     Members(ListHead),
@@ -78,17 +86,36 @@
 /// What the shell is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    Send { request: u64, attempt: u32, member: String, timeout: Micros, fetch: Option<FetchOrder> },
+    Send {
+        request: u64,
+        attempt: u32,
+        member: String,
+        timeout: Micros,
+        fetch: Option<FetchOrder>,
+    },
     /// Cancel at the member; nothing of this attempt is told any more.
-    Abort { request: u64, attempt: u32 },
+    Abort {
+        request: u64,
+        attempt: u32,
+    },
     /// Pass the answer on from its head.
-    Commit { request: u64, attempt: u32 },
+    Commit {
+        request: u64,
+        attempt: u32,
+    },
     /// Final: a retry is harmless.
-    Refuse { request: u64, retry_after: Option<Micros> },
+    Refuse {
+        request: u64,
+        retry_after: Option<Micros>,
+    },
     /// Final: no promise.
-    Fail { request: u64 },
+    Fail {
+        request: u64,
+    },
     /// Final, after the head was passed on: the answer stays incomplete and the client must see that.
-    Break { request: u64 },
+    Break {
+        request: u64,
+    },
     /// The list in force, after [`Input::Members`].
     List(ListNews),
 }
--- a/crates/edge/src/core/purges.rs
+++ b/crates/edge/src/core/purges.rs
@@ -36,8 +36,7 @@
                 let newest = groups.entry(purge.group).or_default();
                 *newest = purge.at.max(*newest);
             }
-            self.purges =
-                groups.into_iter().map(|(group, at)| Purge { at, object: None, group }).collect();
+            self.purges = groups.into_iter().map(|(group, at)| Purge { at, object: None, group }).collect();
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,7 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod core;
-
+pub mod net;
 
 pub use crate::core::{Ask, Core, Input, Output};
-
+pub use net::{Bound, Dispatcher, StartError};
--- /dev/null
+++ b/crates/edge/src/net/door_framed.rs
@@ -0,0 +1,151 @@
+//! Clients on the framed protocol.
+use super::exchange::{self, Asked, ClientGone, ClientSide};
+use super::Door;
+use crate::core::Ask;
+use bytes::Bytes;
+use pointspindle::Micros;
+use pointspindle_link::{Inbound, Link, LinkOptions, Responder};
+use pointspindle_wire::streams::Side;
+use pointspindle_wire::*;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tracing::Instrument;
+
+pub(crate) async fn serve(door: Door, socket: TcpStream) {
+    let listen = &door.hub.settings.listen;
+    let options = LinkOptions { max_streams: listen.max_streams };
+    let (link, mut incoming) = Link::start(socket, Side::Answerer, options);
+    let idle = Duration::from_micros(listen.idle_us);
+    let mut requests = JoinSet::new();
+    loop {
+        while requests.try_join_next().is_some() {}
+        let next = tokio::select! {
+            next = tokio::time::timeout(idle, incoming.next()) => next,
+            _ = door.stopped() => break,
+        };
+        match next {
+            Ok(None) => break,
+            Err(_) if requests.is_empty() => break,
+            Err(_) => {}
+            Ok(Some(Inbound::Control(Frame::Probe(probe)))) if !probe.echo => {
+                let echo = Frame::Probe(ProbeHead { echo: true, ..probe });
+                if link.control(echo).await.is_err() {
+                    break;
+                }
+            }
+            // Lists and purges are taken on the control door only.
+            Ok(Some(Inbound::Control(_))) => {}
+            Ok(Some(Inbound::Request(head, responder))) => {
+                let span = tracing::info_span!(
+                    "request",
+                    class = %head.class,
+                    object = %head.object,
+                    part = head.part,
+                    trace = %head.trace
+                );
+                requests.spawn(answer(door.clone(), head, responder).instrument(span));
+            }
+        }
+    }
+    if door.is_stopping() {
+        link.go_away("the dispatcher stops");
+        // What has come before the word reached the client was accepted: it is answered.
+        let grace = Duration::from_millis(100);
+        while let Ok(Some(inbound)) = tokio::time::timeout(grace, incoming.next()).await {
+            if let Inbound::Request(head, responder) = inbound {
+                requests.spawn(answer(door.clone(), head, responder));
+            }
+        }
+        while requests.join_next().await.is_some() {}
+    }
+    link.close("the connection is done with");
+}
+
+async fn answer(door: Door, mut head: RequestHead, responder: Responder) {
+    let settings = &door.hub.settings;
+    let Some(class) = settings.classes.iter().position(|c| c.name == head.class) else {
+        let detail = format!("no class {:?} here", head.class);
+        return end(responder, WireStatus::Failed, false, None, detail).await;
+    };
+    let most = settings.classes[class].deadline_us;
+    let left = if head.left_us == 0 { most } else { head.left_us.min(most) };
+    let ask = Ask {
+        class,
+        object: head.object.clone(),
+        part: head.part,
+        group: head.group,
+        left,
+        size: head.size,
+    };
+    head.fetch = None;
+    let mut client = FramedClient { responder: Some(responder) };
+    exchange::run(&door.hub, Asked { ask, template: head }, &mut client).await;
+}
+
+async fn end(
+    responder: Responder,
+    status: WireStatus,
+    may_have_run: bool,
+    retry_after_us: Option<Micros>,
+    detail: String,
+) {
+    let error =
+        ErrorHead { status: status as i32, may_have_run, retry_after_us, detail, ..Default::default() };
+    let _ = responder.error(error).await;
+}
+
+struct FramedClient {
+    /// Taken by the final answer.
+    responder: Option<Responder>,
+}
+
+impl FramedClient {
+    fn open(&mut self) -> Result<&mut Responder, ClientGone> {
+        self.responder.as_mut().ok_or(ClientGone)
+    }
+
+    async fn finish(&mut self, status: WireStatus, ran: bool, after: Option<Micros>, why: &str) {
+        if let Some(responder) = self.responder.take() {
+            end(responder, status, ran, after, why.to_owned()).await;
+        }
+    }
+}
+
+impl ClientSide for FramedClient {
+    async fn gone(&mut self) {
+        match &self.responder {
+            Some(responder) => responder.gone().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn head(&mut self, head: &AnswerHead) -> Result<(), ClientGone> {
+        self.open()?.head(head.clone()).await.map_err(|_| ClientGone)
+    }
+
+    async fn data(&mut self, data: Bytes) -> Result<(), ClientGone> {
+        self.open()?.data(data).await.map_err(|_| ClientGone)
+    }
+
+    async fn flush(&mut self) -> Result<(), ClientGone> {
+        Ok(())
+    }
+
+    async fn end(&mut self) -> Result<(), ClientGone> {
+        let responder = self.responder.take().ok_or(ClientGone)?;
+        responder.end(None).await.map_err(|_| ClientGone)
+    }
+
+    async fn refuse(&mut self, after: Option<Micros>) {
+        self.finish(WireStatus::Refused, false, after, "refused: a retry is harmless").await;
+    }
+
+    async fn fail(&mut self) {
+        self.finish(WireStatus::Failed, true, None, "failed: it may have run").await;
+    }
+
+    async fn break_off(&mut self) {
+        self.finish(WireStatus::Failed, true, None, "the answer broke off").await;
+    }
+}
--- /dev/null
+++ b/crates/edge/src/net/door_http.rs
@@ -0,0 +1,292 @@
+//! Clients on HTTP/1.1: GET and HEAD, answered in order, with `Age`, `Cache-Status` (RFC 9211), `Proxy-Status`
+//! (RFC 9209) and `Retry-After`.
+use super::exchange::{self, Asked, ClientGone, ClientSide, Fate};
+use super::Door;
+use crate::core::Ask;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use pointspindle::{Micros, ObjectId};
+use pointspindle_config::EdgeSettings;
+use pointspindle_wire::http::*;
+use pointspindle_wire::{AnswerHead, RequestHead, WireNote};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio_util::codec::FramedRead;
+use tracing::Instrument;
+
+/// Small pieces are gathered up to this before they are written.
+const GATHER: usize = 16 * 1024;
+/// Time to write an error answer to a client that may not read.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+
+pub(crate) async fn serve(door: Door, socket: TcpStream) {
+    let _ = socket.set_nodelay(true);
+    let (read, write) = socket.into_split();
+    let requests = FramedRead::with_capacity(read, RequestCodec, 4 * 1024);
+    let mut client = HttpClient {
+        requests,
+        next: None,
+        gone: false,
+        write,
+        out: BytesMut::new(),
+        method: Method::Get,
+        close: false,
+        chunked: false,
+        body_allowed: true,
+    };
+    let listen = &door.hub.settings.listen;
+    let (idle, head) = (Duration::from_micros(listen.idle_us), Duration::from_micros(listen.head_us));
+    loop {
+        let request = match client.next.take() {
+            Some(request) => request,
+            None => {
+                let waiting = client.requests.read_buffer().is_empty();
+                let longest = if waiting { idle } else { head };
+                let next = tokio::select! {
+                    next = tokio::time::timeout(longest, client.requests.next()) => next,
+                    _ = door.stopped(), if waiting => return,
+                };
+                match next {
+                    Ok(Some(request)) => request,
+                    Ok(None) => return,
+                    // Bytes of a head that is still not complete get an answer; silence gets none.
+                    Err(_) if client.requests.read_buffer().is_empty() => return,
+                    Err(_) if waiting => match tokio::time::timeout(head, client.requests.next()).await {
+                        Ok(Some(request)) => request,
+                        _ => return client.complain(408, "the head did not come in time").await,
+                    },
+                    Err(_) => return client.complain(408, "the head did not come in time").await,
+                }
+            }
+        };
+        let request = match request {
+            Ok(request) => request,
+            Err(e) if e.status() == 0 => return,
+            Err(e) => return client.complain(e.status(), &e.to_string()).await,
+        };
+        client.method = request.method;
+        client.close = !request.keep_alive || door.is_stopping();
+        let span = tracing::info_span!(
+            "request",
+            path = %request.path,
+            trace = request.trace.as_deref().unwrap_or_default()
+        );
+        let fate = answer(&door, request, &mut client).instrument(span).await;
+        if client.close || matches!(fate, Some(Fate::Broken | Fate::ClientGone)) {
+            let _ = client.write.shutdown().await;
+            return;
+        }
+    }
+}
+
+async fn answer(door: &Door, request: HttpRequest, client: &mut HttpClient) -> Option<Fate> {
+    let settings = &door.hub.settings;
+    let Some(asked) = asked(settings, &request) else {
+        client.short(404, &format!("no class serves {}\n", request.path), vec![]).await;
+        return None;
+    };
+    Some(exchange::run(&door.hub, asked, client).await)
+}
+
+/// An HTTP request in the dispatcher's terms: class by the longest prefix, group by the path's first segments.
+fn asked(settings: &EdgeSettings, request: &HttpRequest) -> Option<Asked> {
+    let prefix =
+        |c: &pointspindle_config::ClassSpec| c.path_prefix.clone().filter(|p| request.path.starts_with(p));
+    let fitting = settings.classes.iter().enumerate().filter_map(|(n, c)| Some((prefix(c)?.len(), n)));
+    let (_, class) = fitting.max_by_key(|(len, n)| (*len, std::cmp::Reverse(*n)))?;
+    let part = request.query.strip_prefix("part=").and_then(|n| n.parse().ok());
+    let object = match (part, request.query.is_empty()) {
+        (Some(_), _) | (_, true) => request.path.clone(),
+        _ => format!("{}?{}", request.path, request.query),
+    };
+    let part = part.unwrap_or(0);
+    let group = group_of(&request.path, settings.group_segments);
+    let most = settings.classes[class].deadline_us;
+    let left = request.deadline_ms.map_or(most, |ms| ms.saturating_mul(1000).min(most));
+    let ask = Ask { class, object: object.clone(), part, group, left, size: None };
+    let template = RequestHead {
+        object,
+        part,
+        group,
+        class: settings.classes[class].name.clone(),
+        trace: request.trace.clone().unwrap_or_default(),
+        head_only: request.method == Method::Head,
+        if_none_match: request.if_none_match.clone().unwrap_or_default(),
+        range: request.range.clone().unwrap_or_default(),
+        if_range: request.if_range.clone().unwrap_or_default(),
+        ..Default::default()
+    };
+    Some(Asked { ask, template })
+}
+
+/// The purge group of an HTTP path: the number of its first segments, as `purge --group-of` tells it too.
+pub fn group_of(path: &str, segments: usize) -> u64 {
+    let mut ends = path.match_indices('/').map(|(at, _)| at).skip(1);
+    let end = ends.nth(segments - 1).unwrap_or(path.len());
+    ObjectId::named(&path[..end]).0
+}
+
+struct HttpClient {
+    requests: FramedRead<OwnedReadHalf, RequestCodec>,
+    /// A request that came while another was being answered: one at most, the rest waits in the socket.
+    next: Option<Result<HttpRequest, HttpError>>,
+    gone: bool,
+    write: OwnedWriteHalf,
+    out: BytesMut,
+    method: Method,
+    close: bool,
+    chunked: bool,
+    body_allowed: bool,
+}
+
+impl HttpClient {
+    async fn write_out(&mut self) -> Result<(), ClientGone> {
+        let written = self.write.write_all_buf(&mut self.out).await;
+        self.out.clear();
+        written.map_err(|_| ClientGone)
+    }
+
+    /// A whole answer of our own.
+    async fn short(&mut self, status: u16, text: &str, mut fields: Vec<(&'static str, String)>) {
+        fields.push(("content-type", "text/plain; charset=utf-8".into()));
+        let length = Some(text.len() as u64);
+        HttpAnswer { status, length, close: self.close, fields }.write(&mut self.out);
+        if self.method == Method::Get {
+            self.out.extend_from_slice(text.as_bytes());
+        }
+        if tokio::time::timeout(LAST_WORDS, self.write_out()).await.is_err() {
+            self.close = true;
+        }
+    }
+
+    async fn complain(mut self, status: u16, why: &str) {
+        self.close = true;
+        self.method = Method::Get;
+        self.short(status, &format!("{why}\n"), vec![]).await;
+        let _ = self.write.shutdown().await;
+    }
+}
+
+impl ClientSide for HttpClient {
+    async fn gone(&mut self) {
+        if self.next.is_some() {
+            // Reading further would have to buffer without bound; a write will tell.
+            return std::future::pending().await;
+        }
+        if !self.gone {
+            match self.requests.next().await {
+                Some(Err(e)) if e.status() == 0 => self.gone = true,
+                Some(request) => {
+                    self.next = Some(request);
+                    return std::future::pending().await;
+                }
+                None => self.gone = true,
+            }
+        }
+    }
+
+    async fn head(&mut self, head: &AnswerHead) -> Result<(), ClientGone> {
+        let mut fields = vec![("cache-status", cache_status(head))];
+        fields.push(("age", (head.age_us / 1_000_000).to_string()));
+        if !head.validator.is_empty() {
+            fields.push(("etag", head.validator.clone()));
+        }
+        if !head.content_type.is_empty() {
+            fields.push(("content-type", head.content_type.clone()));
+        }
+        fields.push(("accept-ranges", "bytes".into()));
+        let code = if head.code == 0 { 200 } else { head.code as u16 };
+        let (status, length) = match (head.not_modified, head.unsatisfiable, head.range_first) {
+            (true, ..) => (304, Some(0)),
+            (_, true, _) => (416, Some(0)),
+            (_, _, Some(_)) => (206, head.size),
+            _ => (code, head.size),
+        };
+        match (status, head.range_first, head.size, head.whole_size) {
+            (416, _, _, Some(whole)) => fields.push(("content-range", format!("bytes */{whole}"))),
+            (206, Some(first), Some(size), Some(whole)) if size > 0 => {
+                fields.push(("content-range", format!("bytes {first}-{}/{whole}", first + size - 1)));
+            }
+            _ => {}
+        }
+        self.chunked = length.is_none();
+        self.body_allowed = self.method == Method::Get && !matches!(status, 304 | 416);
+        HttpAnswer { status, length, close: self.close, fields }.write(&mut self.out);
+        Ok(())
+    }
+
+    async fn data(&mut self, data: Bytes) -> Result<(), ClientGone> {
+        if !self.body_allowed {
+            return Ok(());
+        }
+        if self.chunked {
+            write_chunk(&data, &mut self.out);
+        } else if data.len() >= GATHER {
+            // Large pieces are written from where they lie, behind what was gathered.
+            if !self.out.is_empty() {
+                self.write_out().await?;
+            }
+            return self.write.write_all(&data).await.map_err(|_| ClientGone);
+        } else {
+            self.out.extend_from_slice(&data);
+        }
+        if self.out.len() >= GATHER {
+            self.write_out().await?;
+        }
+        Ok(())
+    }
+
+    async fn flush(&mut self) -> Result<(), ClientGone> {
+        if self.out.is_empty() {
+            return Ok(());
+        }
+        self.write_out().await
+    }
+
+    async fn end(&mut self) -> Result<(), ClientGone> {
+        if self.chunked && self.body_allowed {
+            write_chunk(&[], &mut self.out);
+        }
+        self.write_out().await
+    }
+
+    async fn refuse(&mut self, after: Option<Micros>) {
+        let ms = after.unwrap_or(0).div_ceil(1_000);
+        let fields = vec![
+            ("retry-after", ms.div_ceil(1_000).max(1).to_string()),
+            ("x-come-back-ms", ms.to_string()),
+            ("x-outcome", "refused".to_owned()),
+            ("proxy-status", "pointspindle; error=destination_unavailable; details=\"refused\"".to_owned()),
+        ];
+        self.short(503, "refused: a retry is harmless\n", fields).await;
+    }
+
+    async fn fail(&mut self) {
+        let fields = vec![
+            ("x-outcome", "failed".to_owned()),
+            ("proxy-status", "pointspindle; error=connection_terminated; details=\"failed\"".to_owned()),
+        ];
+        self.short(502, "failed: it may have run\n", fields).await;
+    }
+
+    /// What has been written stays short of its length, or without its last chunk: the client sees a cut.
+    async fn break_off(&mut self) {
+        self.out.clear();
+        self.close = true;
+    }
+}
+
+/// RFC 9211: how the answer came about at the cache.
+fn cache_status(head: &AnswerHead) -> String {
+    let ttl = head.fresh_left_us.map(|left| format!("; ttl={}", left / 1_000_000)).unwrap_or_default();
+    match head.note() {
+        WireNote::Hit => format!("pointspindle; hit{ttl}"),
+        WireNote::Old => "pointspindle; hit; detail=old".into(),
+        WireNote::Joined => format!("pointspindle; fwd=miss; collapsed{ttl}"),
+        WireNote::FilledByOrigin => format!("pointspindle; fwd=miss; detail=origin{ttl}"),
+        WireNote::Filled => format!("pointspindle; fwd=miss{ttl}"),
+        _ => "pointspindle".into(),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/net/hub.rs
@@ -0,0 +1,201 @@
+//! The core behind a lock, the clock, and the way of its orders to the requests' tasks.
+use super::metrics::Metrics;
+use super::upstream::Pool;
+use crate::core::{Ask, Core, FetchOrder, Input, ListNews, Output};
+use pointspindle::Micros;
+use pointspindle_config::EdgeSettings;
+use pointspindle_wire::{ListHead, PurgeHead};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, Notify};
+
+/// The core's clock starts here and not at 0, so that members may have started before the dispatcher.
+const EPOCH: Micros = 1_000_000_000_000;
+
+/// What a request's task is to do; the core's outputs without the request's number.
+#[derive(Debug)]
+pub(crate) enum Order {
+    Send { attempt: u32, member: String, timeout: Micros, fetch: Option<FetchOrder> },
+    Abort { attempt: u32 },
+    Commit { attempt: u32 },
+    Refuse { retry_after: Option<Micros> },
+    Fail,
+    Break,
+}
+
+#[derive(Debug)]
+struct Locked {
+    core: Core,
+    orders: HashMap<u64, mpsc::UnboundedSender<Order>>,
+    out: Vec<Output>,
+    /// When the timer task wakes by itself.
+    armed: Option<Micros>,
+    next: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Hub {
+    locked: Mutex<Locked>,
+    born: Instant,
+    timer: Notify,
+    idle: Notify,
+    pub dirty: Notify,
+    pub settings: Arc<EdgeSettings>,
+    pub pool: Pool,
+    pub metrics: Metrics,
+}
+
+impl Hub {
+    pub fn new(settings: Arc<EdgeSettings>, seed: u64) -> Self {
+        let core = Core::new(&settings, seed);
+        let locked = Locked { core, orders: HashMap::new(), out: Vec::new(), armed: None, next: 0 };
+        Self {
+            locked: Mutex::new(locked),
+            born: Instant::now(),
+            timer: Notify::new(),
+            idle: Notify::new(),
+            dirty: Notify::new(),
+            pool: Pool::new(settings.upstream.clone()),
+            metrics: Metrics::new(&settings),
+            settings,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Locked> {
+        self.locked.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn now(&self) -> Micros {
+        EPOCH + self.born.elapsed().as_micros() as Micros
+    }
+
+    /// Opens a request; none if as many are open as may be.
+    pub fn open(&self, ask: Ask) -> Option<(u64, mpsc::UnboundedReceiver<Order>)> {
+        let (sender, orders) = mpsc::unbounded_channel();
+        let mut locked = self.lock();
+        if locked.orders.len() >= self.settings.max_requests {
+            return None;
+        }
+        locked.next += 1;
+        let id = locked.next;
+        locked.orders.insert(id, sender);
+        self.metrics.open.set(locked.orders.len() as i64);
+        self.handle(locked, Input::Request(id, ask));
+        Some((id, orders))
+    }
+
+    /// The request's task is done with it, however it ended.
+    pub fn close(&self, id: u64) {
+        let mut locked = self.lock();
+        locked.orders.remove(&id);
+        self.metrics.open.set(locked.orders.len() as i64);
+        if locked.orders.is_empty() {
+            self.idle.notify_waiters();
+        }
+    }
+
+    pub fn tell(&self, input: Input) {
+        self.handle(self.lock(), input);
+    }
+
+    pub fn members(&self, head: ListHead) -> ListNews {
+        let news = self.handle(self.lock(), Input::Members(head));
+        let news = news.expect("a list update always tells what became of it");
+        self.metrics.list.set(news.seq as i64);
+        for bad in &news.bad {
+            tracing::warn!(line = %bad, "a line of the member list is not used");
+        }
+        self.dirty.notify_one();
+        news
+    }
+
+    pub fn purge(&self, head: PurgeHead) {
+        self.tell(Input::Purge(head));
+        self.dirty.notify_one();
+    }
+
+    pub fn list(&self) -> ListHead {
+        let now = self.now();
+        self.lock().core.members(now)
+    }
+
+    pub fn snapshot(&self) -> crate::core::state::Snapshot {
+        let now = self.now();
+        self.lock().core.snapshot(now)
+    }
+
+    pub fn open_requests(&self) -> usize {
+        self.lock().orders.len()
+    }
+
+    /// Returns when no request is open.
+    pub async fn drained(&self) {
+        loop {
+            let idle = self.idle.notified();
+            if self.open_requests() == 0 {
+                return;
+            }
+            // Notified only at the very end; the time is a net for a close between check and wait.
+            let _ = tokio::time::timeout(Duration::from_millis(50), idle).await;
+        }
+    }
+
+    /// Handles an input and hands the orders out, under the lock so that their order is the core's.
+    fn handle(&self, mut locked: MutexGuard<'_, Locked>, input: Input) -> Option<ListNews> {
+        let now = self.now();
+        let mut out = std::mem::take(&mut locked.out);
+        locked.core.handle(now, input, &mut out);
+        let mut news = None;
+        for output in out.drain(..) {
+            let (id, order) = match output {
+                Output::Send { request, attempt, member, timeout, fetch } => {
+                    (request, Order::Send { attempt, member, timeout, fetch })
+                }
+                Output::Abort { request, attempt } => (request, Order::Abort { attempt }),
+                Output::Commit { request, attempt } => (request, Order::Commit { attempt }),
+                Output::Refuse { request, retry_after } => (request, Order::Refuse { retry_after }),
+                Output::Fail { request } => (request, Order::Fail),
+                Output::Break { request } => (request, Order::Break),
+                Output::List(told) => {
+                    news = Some(told);
+                    continue;
+                }
+            };
+            if let Some(orders) = locked.orders.get(&id) {
+                let _ = orders.send(order);
+            }
+        }
+        locked.out = out;
+        for (end, count) in locked.core.take_ends() {
+            self.metrics.attempt_ended(end, count);
+        }
+        let next = locked.core.next_timer();
+        if next.is_some_and(|at| locked.armed.is_none_or(|armed| at < armed)) {
+            locked.armed = next;
+            self.timer.notify_one();
+        }
+        news
+    }
+}
+
+/// Ticks the core when its next timer is due.
+pub(crate) async fn run_timers(hub: Arc<Hub>) {
+    loop {
+        let next = {
+            let mut locked = hub.lock();
+            locked.armed = locked.core.next_timer();
+            locked.armed
+        };
+        match next {
+            None => hub.timer.notified().await,
+            Some(at) => {
+                let wait = Duration::from_micros(at.saturating_sub(hub.now()));
+                tokio::select! {
+                    _ = tokio::time::sleep(wait) => hub.tell(Input::Tick),
+                    _ = hub.timer.notified() => {}
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/net/metrics.rs
@@ -0,0 +1,142 @@
+//! Figures of a running dispatcher, scraped as text.
+use super::exchange::Fate;
+use super::Door;
+use pointspindle_config::EdgeSettings;
+use pointspindle_wire::http::HttpAnswer;
+use prometheus_client::encoding::{text, EncodeLabelSet};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::{Registry, Unit};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassEnd {
+    class: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassOnly {
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptEndLabel {
+    outcome: &'static str,
+}
+
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    classes: Vec<String>,
+    requests: Family<ClassEnd, Counter>,
+    attempts: Family<AttemptEndLabel, Counter>,
+    first: Family<ClassOnly, Histogram, fn() -> Histogram>,
+    last: Family<ClassOnly, Histogram, fn() -> Histogram>,
+    pub open: Gauge,
+    pub connections: Gauge,
+    pub members_connected: Gauge,
+    pub list: Gauge,
+    pub purge_lag: Histogram,
+}
+
+/// 0.25 ms to some 8 s, doubling.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_25, 2.0, 16))
+}
+
+impl Metrics {
+    pub fn new(settings: &EdgeSettings) -> Self {
+        let mut all = Registry::with_prefix("pointspindle");
+        let (requests, attempts) = (Family::default(), Family::default());
+        let first = Family::new_with_constructor(seconds as fn() -> Histogram);
+        let last = Family::new_with_constructor(seconds as fn() -> Histogram);
+        let (open, connections) = (Gauge::default(), Gauge::default());
+        let (members_connected, list): (Gauge, Gauge) = (Gauge::default(), Gauge::default());
+        let purge_lag = Histogram::new(exponential_buckets(0.000_01, 4.0, 10));
+        all.register("requests", "Requests by class and final outcome", requests.clone());
+        all.register("attempts", "Attempts by outcome", attempts.clone());
+        let s = Unit::Seconds;
+        all.register_with_unit(
+            "first_byte",
+            "From the request to its answer's head",
+            s.clone(),
+            first.clone(),
+        );
+        all.register_with_unit(
+            "last_byte",
+            "From the request to its final answer",
+            s.clone(),
+            last.clone(),
+        );
+        all.register("open_requests", "Requests without a final answer", open.clone());
+        all.register("connections", "Connections at all doors", connections.clone());
+        all.register("member_connections", "Connections to members", members_connected.clone());
+        all.register("list_version", "Number of the member list in force", list.clone());
+        all.register_with_unit(
+            "purge_lag",
+            "From a purge's frame to its being in force",
+            s,
+            purge_lag.clone(),
+        );
+        let classes = settings.classes.iter().map(|c| c.name.clone()).collect();
+        Self {
+            registry: all,
+            classes,
+            requests,
+            attempts,
+            first,
+            last,
+            open,
+            connections,
+            members_connected,
+            list,
+            purge_lag,
+        }
+    }
+
+    fn class(&self, class: usize) -> ClassOnly {
+        ClassOnly { class: self.classes.get(class).cloned().unwrap_or_default() }
+    }
+
+    pub fn request_ended(&self, class: usize, fate: Fate, took: Duration) {
+        let label = self.class(class);
+        self.last.get_or_create(&label).observe(took.as_secs_f64());
+        self.requests.get_or_create(&ClassEnd { class: label.class, outcome: fate.word() }).inc();
+    }
+
+    pub fn first_byte(&self, class: usize, took: Duration) {
+        self.first.get_or_create(&self.class(class)).observe(took.as_secs_f64());
+    }
+
+    pub fn attempt_ended(&self, outcome: &'static str, count: u64) {
+        self.attempts.get_or_create(&AttemptEndLabel { outcome }).inc_by(count);
+    }
+
+    fn text(&self) -> String {
+        let mut out = String::new();
+        let _ = text::encode(&mut out, &self.registry);
+        out
+    }
+}
+
+/// One scrape a connection; whatever is asked for, the answer is the text.
+pub(crate) async fn serve(door: Door, mut socket: TcpStream) {
+    let mut asked = [0; 2048];
+    let read = tokio::time::timeout(Duration::from_secs(2), socket.read(&mut asked)).await;
+    if !matches!(read, Ok(Ok(n)) if n > 0) {
+        return;
+    }
+    let text = door.hub.metrics.text();
+    let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8".to_owned();
+    let fields = vec![("content-type", kind)];
+    let mut out = bytes::BytesMut::new();
+    HttpAnswer { status: 200, length: Some(text.len() as u64), close: true, fields }.write(&mut out);
+    out.extend_from_slice(text.as_bytes());
+    let _ = tokio::time::timeout(Duration::from_secs(2), socket.write_all(&out)).await;
+    let _ = socket.shutdown().await;
+}
--- /dev/null
+++ b/crates/edge/src/net/saver.rs
@@ -0,0 +1,82 @@
+//! The state file: written whole beside its place, synced, renamed; read once at the start.
+use super::hub::Hub;
+use crate::core::state::{Snapshot, MAX_FILE};
+use std::io::{Read, Write};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Least time between two writings: many purges in a moment are one file.
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Tells the hub what an earlier run left; false if there is nothing to tell.
+pub(crate) async fn restore(hub: &Arc<Hub>) -> bool {
+    let Some(path) = hub.settings.state_file.clone() else { return false };
+    let shown = path.display().to_string();
+    let read = tokio::task::spawn_blocking(move || read(&path)).await;
+    match read {
+        Ok(Ok(Some(snapshot))) => {
+            let (list, purges) = snapshot.told(unix_ms());
+            tracing::info!(file = shown, members = list.members.len(), purges = purges.len(), "state read");
+            for purge in purges {
+                hub.purge(purge);
+            }
+            let any = !list.members.is_empty();
+            if any {
+                hub.members(list);
+            }
+            any
+        }
+        Ok(Ok(None)) => false,
+        Ok(Err(why)) => {
+            tracing::warn!(file = shown, why, "the state file is not used");
+            false
+        }
+        Err(_) => false,
+    }
+}
+
+fn read(path: &Path) -> Result<Option<Snapshot>, String> {
+    let file = match std::fs::File::open(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e.to_string()),
+    };
+    let mut bytes = Vec::new();
+    file.take(MAX_FILE + 1).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
+    Snapshot::from_bytes(&bytes).map(Some).map_err(|e| e.to_string())
+}
+
+fn write(path: &Path, snapshot: &Snapshot) -> std::io::Result<()> {
+    let beside = path.with_extension("new");
+    let mut file = std::fs::File::create(&beside)?;
+    file.write_all(&snapshot.to_bytes(unix_ms()))?;
+    file.sync_all()?;
+    std::fs::rename(&beside, path)?;
+    // The name is durable once its folder is.
+    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    std::fs::File::open(folder)?.sync_all()
+}
+
+pub(crate) async fn save_now(hub: &Arc<Hub>) {
+    let Some(path) = hub.settings.state_file.clone() else { return };
+    let snapshot = hub.snapshot();
+    let shown = path.display().to_string();
+    let written = tokio::task::spawn_blocking(move || write(&path, &snapshot)).await;
+    if let Ok(Err(e)) = written {
+        tracing::error!(file = shown, error = %e, "the state file cannot be written; the old one stays");
+    }
+}
+
+/// Writes the file after each change, one at a time.
+pub(crate) async fn run(hub: Arc<Hub>) {
+    loop {
+        hub.dirty.notified().await;
+        save_now(&hub).await;
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,10 @@
+//! The project's laboratory: stand-ins, scenarios, load, an auditor of the five rules.
+//!
+//! Nothing here is a server for service: it rehearses bad days on loopback and judges what went over the sockets.
+#![forbid(unsafe_code)]
 
+pub mod content;
+pub mod demo;
+pub mod model;
+pub mod record;
+pub mod sockets;
--- /dev/null
+++ b/crates/lab/src/model/world.rs
@@ -0,0 +1,1007 @@
+//! All members, the locations' links and the origin's versions, stepped by events.
+use super::host::{Host, Job, JobState, Wait};
+use super::pipe::Pipe;
+use super::store::Key;
+use super::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeSet, HashMap};
+
+/// Bytes of an object's part, by name; none: the origin has no such object.
+pub type Catalogue = Box<dyn Fn(&Wanted) -> Option<u64> + Send>;
+
+/// An answer without a body still takes its frames' time.
+const BARE: Micros = 200;
+/// A warming member's link is looked at this often while it has something to send.
+const WARM_STEP: Micros = 50_000;
+/// A copy past this share of its fresh time is renewed behind the answer.
+const RENEW_FROM: f64 = 0.8;
+/// How often in a run an origin that is pushed too far stops.
+const ORIGIN_FALLS: u32 = 2;
+/// Purges remembered at a member before old ones are dropped.
+const PURGES: usize = 4096;
+const PURGE_KEEP: Micros = 60_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Wake {
+    Zone(usize),
+    Host(HostId),
+}
+
+pub struct World {
+    spec: WorldSpec,
+    hosts: Vec<Host>,
+    addresses: HashMap<String, HostId>,
+    links: Vec<Pipe>,
+    link_wakes: Vec<Option<Micros>>,
+    /// Whose fill a transfer on a location's link is.
+    on_link: HashMap<FillId, HostId>,
+    wakes: BTreeSet<(Micros, Wake)>,
+    catalogue: Catalogue,
+    versions: HashMap<u64, u64>,
+    group_versions: HashMap<u64, u64>,
+    /// When the origin ran a key last.
+    ran: HashMap<Arc<str>, Micros>,
+    /// How often the origin ran each piece of work; what the rule on effects is judged by.
+    effects: HashMap<Arc<str>, u32>,
+    origin_falls: u32,
+    origin_spent: cold::Spent,
+    next_fill: FillId,
+    rng: StdRng,
+}
+
+impl std::fmt::Debug for World {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("World").field("hosts", &self.hosts.len()).finish_non_exhaustive()
+    }
+}
+
+impl World {
+    pub fn new(spec: WorldSpec, hosts: Vec<HostSpec>, catalogue: Catalogue, seed: u64) -> Self {
+        let addresses = hosts.iter().enumerate().map(|(n, h)| (h.address.clone(), n)).collect();
+        let link = |z: &ZoneSpec| Pipe::new(z.link / spec.fill_pace.max(1e-9), 0.0);
+        let links: Vec<Pipe> = spec.zones.iter().map(link).collect();
+        let mut world = Self {
+            link_wakes: vec![None; links.len()],
+            links,
+            spec,
+            hosts: hosts.into_iter().map(Host::new).collect(),
+            addresses,
+            on_link: HashMap::new(),
+            wakes: BTreeSet::new(),
+            catalogue,
+            versions: HashMap::new(),
+            group_versions: HashMap::new(),
+            ran: HashMap::new(),
+            effects: HashMap::new(),
+            origin_falls: 0,
+            origin_spent: cold::Spent::default(),
+            next_fill: 0,
+            rng: StdRng::seed_from_u64(seed),
+        };
+        for h in 0..world.hosts.len() {
+            world.plan_pause(0, h);
+            world.refresh(h);
+        }
+        world
+    }
+
+    pub fn hosts(&self) -> impl Iterator<Item = (HostId, &HostSpec)> {
+        self.hosts.iter().map(|h| &h.spec).enumerate()
+    }
+
+    pub fn host_of(&self, address: &str) -> Option<HostId> {
+        self.addresses.get(address).copied()
+    }
+
+    pub fn is_up(&self, host: HostId) -> bool {
+        self.hosts[host].up
+    }
+
+    /// Which start of the process this is, and when it was; none: long ago.
+    pub fn start(&self, host: HostId) -> (u64, Option<Micros>) {
+        (self.hosts[host].start, self.hosts[host].started)
+    }
+
+    /// A member that joins later: its process begins when it is told to return.
+    pub fn add(&mut self, spec: HostSpec) -> HostId {
+        let id = self.hosts.len();
+        self.addresses.insert(spec.address.clone(), id);
+        let mut host = Host::new(spec);
+        host.up = false;
+        host.start = 0;
+        self.hosts.push(host);
+        id
+    }
+
+    /// How often each piece of keyed or unsafe work has run.
+    pub fn effects(&self) -> &HashMap<Arc<str>, u32> {
+        &self.effects
+    }
+
+    /// The version that the origin gives out now.
+    pub fn version(&self, number: u64, group: u64) -> u64 {
+        let of = |map: &HashMap<u64, u64>, key| map.get(&key).copied().unwrap_or(0);
+        of(&self.versions, number) + of(&self.group_versions, group)
+    }
+
+    /// Puts a copy where the run begins with one.
+    pub fn preload(&mut self, host: HostId, key: Key, group: u64, copy: Copy) -> bool {
+        self.hosts[host].store.put(key, group, copy, 1)
+    }
+
+    /// Transfers on a member's link, over those that it carries; for heat maps.
+    pub fn load(&self, host: HostId) -> f64 {
+        self.hosts[host].pipe.load()
+    }
+
+    pub fn next_timer(&self) -> Option<Micros> {
+        self.wakes.first().map(|(at, _)| *at)
+    }
+
+    pub fn handle(&mut self, now: Micros, input: In, out: &mut Vec<Out>) {
+        // What should have happened before this input happens first.
+        self.tick(now, out);
+        match input {
+            In::Arrive { host, job, wanted } => self.arrive(now, host, job, wanted, out),
+            In::Cancel { host, job } => self.cancel(now, host, job, out),
+            In::SourceHead { host, fill, answer } => self.source_head(now, host, fill, answer, out),
+            In::SourceEnd { host, fill, end } => self.source_end(now, host, fill, end, out),
+            In::Purge { host, object, group, at } => {
+                let h = &mut self.hosts[host];
+                h.store.purge(object, group, at);
+                for map in [&mut h.purged_objects, &mut h.purged_groups] {
+                    if map.len() > PURGES {
+                        map.retain(|_, t| *t + PURGE_KEEP > now);
+                    }
+                }
+                let newest = match object {
+                    Some(object) => h.purged_objects.entry(object).or_default(),
+                    None => h.purged_groups.entry(group).or_default(),
+                };
+                *newest = at.max(*newest);
+            }
+            In::Change { object: Some(object), .. } => *self.versions.entry(object).or_default() += 1,
+            In::Change { object: None, group } => *self.group_versions.entry(group).or_default() += 1,
+            In::Fault { host, fault } => self.fault(now, host, fault, out),
+            In::Tick => {}
+        }
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut Vec<Out>) {
+        while let Some((at, wake)) = self.wakes.first().copied().filter(|(at, _)| *at <= now) {
+            self.wakes.pop_first();
+            match wake {
+                Wake::Zone(z) => {
+                    self.link_wakes[z] = None;
+                    while let Some(fill) = self.links[z].ended(at) {
+                        if let Some(h) = self.on_link.remove(&fill) {
+                            if let Some(fill) = self.hosts[h].fills.get_mut(&fill) {
+                                fill.on_link = None;
+                            }
+                            self.if_complete(at, h, fill, out);
+                            self.refresh(h);
+                        }
+                    }
+                    self.refresh_link(z);
+                }
+                Wake::Host(h) => {
+                    self.hosts[h].wake = None;
+                    self.look(at, h, out);
+                    self.refresh(h);
+                }
+            }
+        }
+    }
+
+    /// Registers when the member next does something by itself.
+    fn refresh(&mut self, h: HostId) {
+        let host = &mut self.hosts[h];
+        let next = if host.up { host.next() } else { None };
+        if host.wake == next {
+            return;
+        }
+        if let Some(old) = std::mem::replace(&mut host.wake, next) {
+            self.wakes.remove(&(old, Wake::Host(h)));
+        }
+        if let Some(at) = next {
+            self.wakes.insert((at, Wake::Host(h)));
+        }
+    }
+
+    fn refresh_link(&mut self, z: usize) {
+        let next = self.links[z].next();
+        if self.link_wakes[z] == next {
+            return;
+        }
+        if let Some(old) = std::mem::replace(&mut self.link_wakes[z], next) {
+            self.wakes.remove(&(old, Wake::Zone(z)));
+        }
+        if let Some(at) = next {
+            self.wakes.insert((at, Wake::Zone(z)));
+        }
+    }
+
+    /// What is due at a member: transfers that end, timers, the warm-up's next step.
+    fn look(&mut self, now: Micros, h: HostId, out: &mut Vec<Out>) {
+        self.warm(now, h);
+        while let Some(job) = self.hosts[h].pipe.ended(now) {
+            self.sent(now, h, job, out);
+        }
+        while let Some((at, wait)) = self.hosts[h].waits.first().copied().filter(|(at, _)| *at <= now) {
+            self.hosts[h].waits.remove(&(at, wait));
+            match wait {
+                Wait::Think(job) => self.thought(now, h, job, out),
+                Wait::FillDue(fill) => self.fill_due(now, h, fill, out),
+                Wait::Look => {}
+            }
+        }
+        let host = &mut self.hosts[h];
+        if host.next_pause > 0 && now >= host.next_pause {
+            let until = now + host.spec.pause;
+            host.faults.hang = host.faults.hang.max(until);
+            host.waits.insert((until, Wait::Look));
+            self.plan_pause(until, h);
+        }
+        self.warm(now, h);
+        if !self.hosts[h].hangs(now) && !self.hosts[h].deferred.is_empty() {
+            for input in std::mem::take(&mut self.hosts[h].deferred) {
+                match input {
+                    In::Arrive { job, wanted, .. } => self.take(now, h, job, wanted, out),
+                    In::SourceHead { fill, answer, .. } => self.source_head(now, h, fill, answer, out),
+                    In::SourceEnd { fill, end, .. } => self.source_end(now, h, fill, end, out),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn plan_pause(&mut self, now: Micros, h: HostId) {
+        let spec = &self.hosts[h].spec;
+        if spec.pause_every == 0 {
+            return;
+        }
+        let wait = -(spec.pause_every as f64) * (1.0 - self.rng.gen::<f64>()).ln();
+        let at = now + wait as Micros + 1;
+        self.hosts[h].next_pause = at;
+        self.hosts[h].waits.insert((at, Wait::Look));
+    }
+
+    /// The link's present width; while it changes by itself, a look is planned.
+    fn warm(&mut self, now: Micros, h: HostId) {
+        let host = &mut self.hosts[h];
+        let capacity = host.capacity(now);
+        host.pipe.set_capacity(now, capacity);
+        if host.is_cold(now) && host.pipe.transfers() > 0 {
+            // On a common grid, so that many looks of one moment are one.
+            host.waits.insert(((now / WARM_STEP + 1) * WARM_STEP, Wait::Look));
+        }
+    }
+
+    // ---- requests
+
+    fn arrive(&mut self, now: Micros, h: HostId, job: JobId, wanted: Wanted, out: &mut Vec<Out>) {
+        if !self.hosts[h].up {
+            return out.push(Out::Cut { host: h, job });
+        }
+        if self.pushed_over(now, h, &wanted, out) {
+            return;
+        }
+        if self.hosts[h].hangs(now) {
+            self.hosts[h].deferred.push(In::Arrive { host: h, job, wanted });
+            return self.refresh(h);
+        }
+        self.take(now, h, job, wanted, out);
+        self.refresh(h);
+    }
+
+    /// Every attempt that reaches a cold member counts, also one that only looks or is turned away.
+    fn pushed_over(&mut self, now: Micros, h: HostId, wanted: &Wanted, out: &mut Vec<Out>) -> bool {
+        let work = self.spec.classes.get(wanted.class).map_or(0.0, |c| c.mean as f64 / 1e6);
+        let host = &mut self.hosts[h];
+        match (host.spec.role, host.started) {
+            (Role::Origin, _) => {
+                let spec = cold::ColdSpec {
+                    start_share: 1.0,
+                    warm_within: 0,
+                    multiple: host.spec.fall_multiple,
+                    window: host.spec.fall_window,
+                };
+                if spec.multiple <= 0.0 || self.origin_falls >= ORIGIN_FALLS {
+                    return false;
+                }
+                let used = self.origin_spent.send(now, 0, host.spec.weight, &spec, work);
+                if used > 1.0 {
+                    self.origin_falls += 1;
+                    self.origin_spent = cold::Spent::default();
+                    let until = now + host.spec.fall_down;
+                    host.faults.hang = host.faults.hang.max(until);
+                    host.waits.insert((until, Wait::Look));
+                    self.warm(now, h);
+                }
+                false
+            }
+            (_, Some(started)) if host.is_cold(now) => {
+                let (weight, spec) = (host.spec.weight, host.spec.cold);
+                if host.spent.send(now, started, weight, &spec, work) <= 1.0 {
+                    return false;
+                }
+                self.down(now, h, "pushed over while cold", out);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn take(&mut self, now: Micros, h: HostId, job: JobId, wanted: Wanted, out: &mut Vec<Out>) {
+        let host = &self.hosts[h];
+        let faults = &host.faults;
+        if now < faults.refuse {
+            return self.reject(now, h, job, WireStatus::Full, WireNote::Untold, false, out);
+        }
+        let (err, lose) = (faults.err, faults.lose);
+        if now < err.1 && self.rng.gen::<f64>() < err.0 {
+            return self.reject(now, h, job, WireStatus::Error, WireNote::Untold, true, out);
+        }
+        if host.busy >= host.spec.places && host.queue.len() >= host.spec.queue {
+            return self.reject(now, h, job, WireStatus::Full, WireNote::Untold, false, out);
+        }
+        if now < lose.1 && self.rng.gen::<f64>() < lose.0 {
+            let lost = Job { wanted, arrived: now, state: JobState::Lost };
+            self.hosts[h].jobs.insert(job, lost);
+            return;
+        }
+        if host.spec.role == Role::Origin {
+            return self.at_origin(now, h, job, wanted, out);
+        }
+        let class = self.spec.classes.get(wanted.class);
+        let uncacheable = class.is_some_and(|c| c.uncacheable);
+        let key = (wanted.number, wanted.part);
+        let floor = self.floor(now, &wanted);
+        let held = host.store.get(key).filter(|_| !uncacheable);
+        match held.filter(|copy| copy.birth >= floor) {
+            Some(copy) => self.hit(now, h, job, wanted, copy, out),
+            None => {
+                self.hosts[h].hits *= 0.98;
+                self.miss(now, h, job, wanted, held, out);
+            }
+        }
+    }
+
+    /// The oldest birth of a copy that a request takes.
+    fn floor(&self, now: Micros, wanted: &Wanted) -> Micros {
+        let fresh = self.spec.classes.get(wanted.class).map_or(0, |c| c.fresh);
+        match (wanted.age, fresh) {
+            (0, 0) => 0,
+            (0, fresh) => now.saturating_sub(fresh),
+            (age, _) => now.saturating_sub(age),
+        }
+    }
+
+    fn hit(&mut self, now: Micros, h: HostId, job: JobId, wanted: Wanted, copy: Copy, out: &mut Vec<Out>) {
+        let key = (wanted.number, wanted.part);
+        let fresh = self.spec.classes.get(wanted.class).map_or(0, |c| c.fresh);
+        let age = now.saturating_sub(copy.birth);
+        let rank = self.rank(h, wanted.keep);
+        let host = &mut self.hosts[h];
+        host.store.touch(key, rank);
+        host.hits = host.hits * 0.98 + 0.02;
+        let old = fresh > 0 && age > fresh;
+        let note = if old { WireNote::Old } else { WireNote::Hit };
+        let renew = wanted.renew && fresh > 0 && age as f64 > RENEW_FROM * fresh as f64;
+        let behind = renew.then(|| wanted.clone());
+        let answer = self.answer(now, h, note, copy, &wanted);
+        self.admit(now, h, job, wanted, answer, None, out);
+        if let Some(wanted) = behind.filter(|_| !self.hosts[h].filling.contains_key(&key)) {
+            // Behind the answer the copy must be new, whatever age the answer itself could have.
+            let wanted = Wanted { age: 1, join: false, held_only: false, ..wanted };
+            self.begin_fill(now, h, None, wanted, Some(copy), out);
+        }
+    }
+
+    /// Parents know no ranks.
+    fn rank(&self, h: HostId, keep: u8) -> u8 {
+        if self.hosts[h].spec.role == Role::Parent {
+            1
+        } else {
+            keep
+        }
+    }
+
+    fn answer(&mut self, now: Micros, h: HostId, note: WireNote, copy: Copy, wanted: &Wanted) -> Answer {
+        let zone = self.hosts[h].spec.zone;
+        let link = self.links.get(zone).map_or(0.0, |l| l.load());
+        let load = self.hosts[h].load(now, link);
+        let age = now.saturating_sub(copy.birth);
+        let fresh = self.spec.classes.get(wanted.class).map_or(0, |c| c.fresh);
+        let fresh_left = (fresh > 0).then(|| fresh.saturating_sub(age));
+        let not_modified = wanted.holds == Some(copy.version);
+        Answer { note, copy, age, fresh_left, not_modified, load, code: 200 }
+    }
+
+    fn miss(
+        &mut self,
+        now: Micros,
+        h: HostId,
+        job: JobId,
+        wanted: Wanted,
+        held: Option<Copy>,
+        out: &mut Vec<Out>,
+    ) {
+        let key = (wanted.number, wanted.part);
+        let parent = self.hosts[h].spec.role == Role::Parent;
+        // A parent fetches once for all who wait; a cache where the request says so.
+        let join = wanted.join || (parent && !wanted.key_is_set());
+        let under_way = self.hosts[h].filling.get(&key).copied();
+        if let Some(fill) = under_way.filter(|_| join) {
+            let host = &mut self.hosts[h];
+            if let Some(found) = host.fills.get_mut(&fill) {
+                found.waiting.push(job);
+                let head = found.head.clone();
+                let state = JobState::Filling(fill);
+                host.jobs.insert(job, Job { wanted, arrived: now, state });
+                if let Some(head) = head {
+                    self.serve_from_fill(now, h, fill, job, &head, WireNote::Joined, out);
+                }
+                return;
+            }
+        }
+        self.begin_fill(now, h, Some((job, now)), wanted, held, out);
+    }
+
+    /// Asks the source, or turns the request away where there is none or no place.
+    fn begin_fill(
+        &mut self,
+        now: Micros,
+        h: HostId,
+        job: Option<(JobId, Micros)>,
+        wanted: Wanted,
+        held: Option<Copy>,
+        out: &mut Vec<Out>,
+    ) {
+        let source = wanted.source.clone().filter(|s| *s != self.hosts[h].spec.address);
+        let source = source.or_else(|| self.upstream(h)).filter(|_| {
+            // Held only, at the member itself: no fill.
+            !(wanted.held_only && wanted.source.is_none())
+        });
+        let Some(source) = source else {
+            if let Some((job, _)) = job {
+                let under_way = self.hosts[h].filling.contains_key(&(wanted.number, wanted.part));
+                let note = if under_way { WireNote::Joined } else { WireNote::Untold };
+                self.reject(now, h, job, WireStatus::Miss, note, false, out);
+            }
+            return;
+        };
+        let host = &mut self.hosts[h];
+        if host.fills.len() >= host.spec.fill_places {
+            if let Some((job, _)) = job {
+                self.reject(now, h, job, WireStatus::Full, WireNote::NoFillPlace, false, out);
+            }
+            return;
+        }
+        self.next_fill += 1;
+        let fill = self.next_fill;
+        let key = (wanted.number, wanted.part);
+        let due = now + host.spec.fill_timeout;
+        // The source fills for us, unless it is to give only what it holds.
+        let asked = Wanted { source: None, holds: held.map(|c| c.version), ..wanted.clone() };
+        let waiting = job.map(|(job, _)| job).into_iter().collect();
+        let found = fill::Fill {
+            key,
+            wanted: wanted.clone(),
+            source: source.clone(),
+            waiting,
+            behind: job.is_none(),
+            tries_left: host.spec.fill_retries,
+            due,
+            began: now,
+            head: None,
+            all_sent: false,
+            on_link: None,
+        };
+        host.fills.insert(fill, found);
+        host.filling.insert(key, fill);
+        host.waits.insert((due, Wait::FillDue(fill)));
+        if let Some((job, arrived)) = job {
+            host.jobs.insert(job, Job { wanted, arrived, state: JobState::Filling(fill) });
+        }
+        out.push(Out::Fill { host: h, fill, source, wanted: asked });
+    }
+
+    /// A parent's own source.
+    fn upstream(&self, h: HostId) -> Option<String> {
+        if self.hosts[h].spec.role != Role::Parent {
+            return None;
+        }
+        self.hosts.iter().find(|o| o.spec.role == Role::Origin).map(|o| o.spec.address.clone())
+    }
+
+    /// Gives a request its place, or lets it wait; there is room for it, or it had come before.
+    #[allow(clippy::too_many_arguments)]
+    fn admit(
+        &mut self,
+        now: Micros,
+        h: HostId,
+        job: JobId,
+        wanted: Wanted,
+        answer: Answer,
+        fill: Option<FillId>,
+        out: &mut Vec<Out>,
+    ) {
+        let host = &mut self.hosts[h];
+        if host.busy >= host.spec.places {
+            host.queue.push_back(job);
+            let state = JobState::Queued(answer, fill);
+            host.jobs.insert(job, Job { wanted, arrived: now, state });
+            return;
+        }
+        self.begin(now, h, job, wanted, answer, fill, out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn begin(
+        &mut self,
+        now: Micros,
+        h: HostId,
+        job: JobId,
+        wanted: Wanted,
+        answer: Answer,
+        fill: Option<FillId>,
+        out: &mut Vec<Out>,
+    ) {
+        self.hosts[h].busy += 1;
+        let think = self.hosts[h].spec.think;
+        if self.hosts[h].spec.role == Role::Origin && think > 0 {
+            let slow = match self.hosts[h].faults.slow {
+                (factor, until) if now < until => factor,
+                _ => 1.0,
+            };
+            let wait = -(think as f64) * slow * (1.0 - self.rng.gen::<f64>()).ln();
+            let at = now + wait as Micros + 1;
+            self.hosts[h].waits.insert((at, Wait::Think(job)));
+            let state = JobState::Thinking(answer);
+            self.hosts[h].jobs.insert(job, Job { wanted, arrived: now, state });
+            return;
+        }
+        self.transfer(now, h, job, wanted, answer, fill, out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn transfer(
+        &mut self,
+        now: Micros,
+        h: HostId,
+        job: JobId,
+        wanted: Wanted,
+        answer: Answer,
+        fill: Option<FillId>,
+        out: &mut Vec<Out>,
+    ) {
+        let bytes = if answer.not_modified { 0 } else { answer.copy.size };
+        let work = (bytes as f64 / self.spec.flow * 1e6) as u64 + BARE;
+        self.warm(now, h);
+        let cut = match self.hosts[h].faults.cut {
+            (share, until) if now < until => self.rng.gen::<f64>() < share,
+            _ => false,
+        };
+        let host = &mut self.hosts[h];
+        let key = host.pipe.begin(now, job, work);
+        host.jobs.insert(job, Job { wanted, arrived: now, state: JobState::Sending { key, fill, cut } });
+        out.push(Out::Start { host: h, job, answer });
+        self.warm(now, h);
+    }
+
+    /// The origin's work before the first byte is done.
+    fn thought(&mut self, now: Micros, h: HostId, job: JobId, out: &mut Vec<Out>) {
+        let Some(found) = self.hosts[h].jobs.remove(&job) else { return };
+        let JobState::Thinking(answer) = found.state else { return };
+        self.transfer(now, h, job, found.wanted, answer, None, out);
+    }
+
+    /// Its part of the link is through.
+    fn sent(&mut self, now: Micros, h: HostId, job: JobId, out: &mut Vec<Out>) {
+        let host = &mut self.hosts[h];
+        let Some(found) = host.jobs.get_mut(&job) else { return };
+        let JobState::Sending { fill, cut, .. } = found.state else { return };
+        if cut {
+            host.jobs.remove(&job);
+            out.push(Out::Cut { host: h, job });
+            return self.leave_place(now, h, out);
+        }
+        match fill.filter(|f| host.fills.get(f).is_some_and(|f| !f.is_complete())) {
+            Some(fill) => found.state = JobState::Trailing(fill),
+            None => {
+                host.jobs.remove(&job);
+                out.push(Out::Finish { host: h, job });
+                self.leave_place(now, h, out);
+            }
+        }
+    }
+
+    /// A place is free: the longest waiting request gets it.
+    fn leave_place(&mut self, now: Micros, h: HostId, out: &mut Vec<Out>) {
+        self.hosts[h].busy -= 1;
+        while self.hosts[h].busy < self.hosts[h].spec.places {
+            let Some(job) = self.hosts[h].queue.pop_front() else { break };
+            let Some(found) = self.hosts[h].jobs.remove(&job) else { continue };
+            let JobState::Queued(answer, fill) = found.state else { continue };
+            self.begin(now, h, job, found.wanted, answer, fill, out);
+        }
+        self.warm(now, h);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn reject(
+        &mut self,
+        now: Micros,
+        h: HostId,
+        job: JobId,
+        status: WireStatus,
+        note: WireNote,
+        may_have_run: bool,
+        out: &mut Vec<Out>,
+    ) {
+        let load = self.hosts[h].load(now, 0.0);
+        out.push(Out::Reject { host: h, job, status, note, may_have_run, load });
+    }
+
+    fn cancel(&mut self, now: Micros, h: HostId, job: JobId, out: &mut Vec<Out>) {
+        let host = &mut self.hosts[h];
+        host.deferred.retain(|i| !matches!(i, In::Arrive { job: j, .. } if *j == job));
+        let Some(found) = host.jobs.remove(&job) else { return };
+        match found.state {
+            JobState::Filling(fill) => self.unwait(now, h, fill, job, out),
+            JobState::Queued(_, fill) => {
+                host.queue.retain(|j| *j != job);
+                if let Some(fill) = fill {
+                    self.unwait(now, h, fill, job, out);
+                }
+            }
+            JobState::Thinking(_) => self.leave_place(now, h, out),
+            JobState::Sending { key, fill, .. } => {
+                host.pipe.leave(now, key);
+                self.leave_place(now, h, out);
+                if let Some(fill) = fill {
+                    self.unwait(now, h, fill, job, out);
+                }
+            }
+            JobState::Trailing(fill) => {
+                self.leave_place(now, h, out);
+                self.unwait(now, h, fill, job, out);
+            }
+            JobState::Lost => {}
+        }
+        self.refresh(h);
+    }
+
+    /// A request leaves its fill, which runs on or is dropped with its last one.
+    fn unwait(&mut self, now: Micros, h: HostId, fill: FillId, job: JobId, out: &mut Vec<Out>) {
+        let host = &mut self.hosts[h];
+        let Some(found) = host.fills.get_mut(&fill) else { return };
+        found.waiting.retain(|j| *j != job);
+        if found.waiting.is_empty() && !found.behind && host.spec.abort_fill && !found.is_complete() {
+            self.forget_fill(now, h, fill);
+            out.push(Out::DropFill { host: h, fill });
+        }
+    }
+
+    fn forget_fill(&mut self, now: Micros, h: HostId, fill: FillId) -> Option<fill::Fill> {
+        let host = &mut self.hosts[h];
+        let found = host.fills.remove(&fill)?;
+        host.waits.remove(&(found.due, Wait::FillDue(fill)));
+        if host.filling.get(&found.key) == Some(&fill) {
+            host.filling.remove(&found.key);
+        }
+        if let Some(key) = found.on_link {
+            let zone = host.spec.zone;
+            self.on_link.remove(&fill);
+            self.links[zone].leave(now, key);
+            self.refresh_link(zone);
+        }
+        Some(found)
+    }
+
+    // ---- fills
+
+    fn source_head(&mut self, now: Micros, h: HostId, fill: FillId, answer: Answer, out: &mut Vec<Out>) {
+        if self.hosts[h].hangs(now) {
+            self.hosts[h].deferred.push(In::SourceHead { host: h, fill, answer });
+            return;
+        }
+        let zone = self.hosts[h].spec.zone;
+        let Some(found) = self.hosts[h].fills.get_mut(&fill).filter(|f| f.head.is_none()) else { return };
+        let key = found.key;
+        // A copy that the source confirmed has the body that is held here.
+        let held = self.hosts[h].store.get(key);
+        let copy = match held.filter(|_| answer.not_modified) {
+            Some(held) => Copy { birth: answer.copy.birth, ..held },
+            None => answer.copy,
+        };
+        let outside = self.host_of_source(h, fill).is_none_or(|s| self.hosts[s].spec.zone != zone);
+        let bytes = if answer.not_modified { 0 } else { copy.size };
+        let found = self.hosts[h].fills.get_mut(&fill).expect("looked up above");
+        let head = Answer { copy, ..answer };
+        found.head = Some(head.clone());
+        if outside && bytes > 0 && self.spec.zones[zone].link > 0.0 {
+            let work = (bytes as f64 / (self.spec.flow * self.spec.fill_pace) * 1e6) as u64;
+            found.on_link = Some(self.links[zone].begin(now, fill, work));
+            self.on_link.insert(fill, h);
+        }
+        let waiting = found.waiting.clone();
+        self.refresh_link(zone);
+        for (n, job) in waiting.into_iter().enumerate() {
+            let note = match (n, head.note, self.source_is_origin(h, fill)) {
+                (1.., ..) => WireNote::Joined,
+                (_, _, true) | (_, WireNote::Filled | WireNote::FilledByOrigin | WireNote::Joined, _) => {
+                    WireNote::FilledByOrigin
+                }
+                _ => WireNote::Filled,
+            };
+            self.serve_from_fill(now, h, fill, job, &head, note, out);
+        }
+        self.refresh(h);
+    }
+
+    fn host_of_source(&self, h: HostId, fill: FillId) -> Option<HostId> {
+        self.host_of(&self.hosts[h].fills.get(&fill)?.source)
+    }
+
+    fn source_is_origin(&self, h: HostId, fill: FillId) -> bool {
+        self.host_of_source(h, fill).is_some_and(|s| self.hosts[s].spec.role == Role::Origin)
+    }
+
+    /// Passes a fill on to one who waits for it, if its copy is young enough for that request.
+    #[allow(clippy::too_many_arguments)]
+    fn serve_from_fill(
+        &mut self,
+        now: Micros,
+        h: HostId,
+        fill: FillId,
+        job: JobId,
+        head: &Answer,
+        note: WireNote,
+        out: &mut Vec<Out>,
+    ) {
+        let Some(found) = self.hosts[h].jobs.remove(&job) else { return };
+        let floor = self.floor(found.arrived, &found.wanted);
+        if head.copy.birth < floor {
+            // Joined a fill that was asked for with less: a fill of its own.
+            if let Some(fill) = self.hosts[h].fills.get_mut(&fill) {
+                fill.waiting.retain(|j| *j != job);
+            }
+            return self.begin_fill(now, h, Some((job, found.arrived)), found.wanted, None, out);
+        }
+        let mut answer = self.answer(now, h, note, head.copy, &found.wanted);
+        answer.code = head.code;
+        self.admit(now, h, job, found.wanted, answer, Some(fill), out);
+    }
+
+    fn source_end(&mut self, now: Micros, h: HostId, fill: FillId, end: SourceEnd, out: &mut Vec<Out>) {
+        if self.hosts[h].hangs(now) {
+            self.hosts[h].deferred.push(In::SourceEnd { host: h, fill, end });
+            return;
+        }
+        match end {
+            SourceEnd::Complete => {
+                if let Some(found) = self.hosts[h].fills.get_mut(&fill) {
+                    found.all_sent = true;
+                }
+                self.if_complete(now, h, fill, out);
+            }
+            SourceEnd::Told { status, note } => self.fill_failed(now, h, fill, Some((status, note)), out),
+            SourceEnd::Unreachable => self.fill_failed(now, h, fill, None, out),
+        }
+        self.refresh(h);
+    }
+
+    fn fill_due(&mut self, now: Micros, h: HostId, fill: FillId, out: &mut Vec<Out>) {
+        if self.hosts[h].fills.get(&fill).is_some_and(|f| f.head.is_none()) {
+            out.push(Out::DropFill { host: h, fill });
+            self.fill_failed(now, h, fill, None, out);
+        }
+    }
+
+    /// Nothing more comes of a fill: another try, or the word to all who wait.
+    fn fill_failed(
+        &mut self,
+        now: Micros,
+        h: HostId,
+        fill: FillId,
+        told: Option<(WireStatus, WireNote)>,
+        out: &mut Vec<Out>,
+    ) {
+        let origin = self.source_is_origin(h, fill);
+        let parent = self.hosts[h].spec.role == Role::Parent;
+        let Some(found) = self.forget_fill(now, h, fill) else { return };
+        let lacks = matches!(told, Some((WireStatus::Miss, _)));
+        let safe = !found.wanted.key_is_set();
+        if found.head.is_none() && found.tries_left > 0 && !lacks && safe && !found.waiting.is_empty() {
+            self.next_fill += 1;
+            let (id, due) = (self.next_fill, now + self.hosts[h].spec.fill_timeout);
+            let wanted = Wanted { source: None, ..found.wanted.clone() };
+            let source = found.source.clone();
+            for job in &found.waiting {
+                if let Some(job) = self.hosts[h].jobs.get_mut(job) {
+                    job.state = JobState::Filling(id);
+                }
+            }
+            let again = fill::Fill { tries_left: found.tries_left - 1, due, began: now, ..found };
+            self.hosts[h].filling.insert(again.key, id);
+            self.hosts[h].waits.insert((due, Wait::FillDue(id)));
+            self.hosts[h].fills.insert(id, again);
+            return out.push(Out::Fill { host: h, fill: id, source, wanted });
+        }
+        let (status, note, ran) = match told {
+            Some((WireStatus::Full, _)) => (WireStatus::Full, WireNote::SourceRefused, false),
+            Some((WireStatus::Miss, _)) => (WireStatus::Miss, WireNote::SourceLacks, false),
+            Some((_, n)) if matches!(n, WireNote::SourceRefused | WireNote::SourceUnreachable) => {
+                (WireStatus::Error, WireNote::OriginFailed, true)
+            }
+            Some((_, WireNote::OriginFailed)) => (WireStatus::Error, WireNote::OriginFailed, true),
+            _ => (WireStatus::Error, WireNote::SourceUnreachable, true),
+        };
+        // A parent whose origin turned it away says so as a failure of the origin, not as its own lack of room.
+        let (status, note) = match (parent && origin, note) {
+            (true, WireNote::SourceRefused) => (WireStatus::Error, note),
+            _ => (status, note),
+        };
+        for job in found.waiting {
+            let Some(state) = self.hosts[h].jobs.get(&job).map(|j| &j.state) else { continue };
+            match state {
+                JobState::Filling(_) => {
+                    self.hosts[h].jobs.remove(&job);
+                    self.reject(now, h, job, status, note, ran, out);
+                }
+                // The head is out, or the answer waits for a place with half a copy behind it.
+                JobState::Sending { key, .. } => {
+                    let key = *key;
+                    self.hosts[h].pipe.leave(now, key);
+                    self.hosts[h].jobs.remove(&job);
+                    self.reject(now, h, job, WireStatus::Error, note, true, out);
+                    self.leave_place(now, h, out);
+                }
+                JobState::Trailing(_) => {
+                    self.hosts[h].jobs.remove(&job);
+                    self.reject(now, h, job, WireStatus::Error, note, true, out);
+                    self.leave_place(now, h, out);
+                }
+                JobState::Queued(..) => {
+                    self.hosts[h].jobs.remove(&job);
+                    self.hosts[h].queue.retain(|j| *j != job);
+                    self.reject(now, h, job, WireStatus::Error, note, true, out);
+                }
+                JobState::Thinking(_) | JobState::Lost => {}
+            }
+        }
+    }
+
+    /// Keeps a copy that is here to its last byte, and ends the answers that waited for that.
+    fn if_complete(&mut self, now: Micros, h: HostId, fill: FillId, out: &mut Vec<Out>) {
+        if !self.hosts[h].fills.get(&fill).is_some_and(|f| f.is_complete()) {
+            return;
+        }
+        let Some(found) = self.forget_fill(now, h, fill) else { return };
+        let Some(head) = found.head else { return };
+        let (number, group) = (found.wanted.number, found.wanted.group);
+        let uncacheable = self.spec.classes.get(found.wanted.class).is_some_and(|c| c.uncacheable);
+        let rank = self.rank(h, found.wanted.keep);
+        let host = &mut self.hosts[h];
+        if !uncacheable && head.code == 200 && !host.is_purged(number, group, head.copy.birth) {
+            if head.not_modified {
+                host.store.renew(found.key, head.copy.birth);
+            } else {
+                host.store.put(found.key, group, head.copy, rank);
+            }
+        }
+        for job in found.waiting {
+            let trailing =
+                self.hosts[h].jobs.get(&job).is_some_and(|j| matches!(j.state, JobState::Trailing(_)));
+            if trailing {
+                self.hosts[h].jobs.remove(&job);
+                out.push(Out::Finish { host: h, job });
+                self.leave_place(now, h, out);
+            }
+        }
+    }
+
+    // ---- the origin
+
+    fn at_origin(&mut self, now: Micros, h: HostId, job: JobId, wanted: Wanted, out: &mut Vec<Out>) {
+        if wanted.key_is_set() {
+            let window = self.spec.key_window;
+            if self.ran.len() > PURGES {
+                self.ran.retain(|_, at| *at + window > now);
+            }
+            let repeat = self.ran.get(&wanted.key).is_some_and(|at| now < *at + window);
+            if !repeat {
+                self.ran.insert(wanted.key.clone(), now);
+                *self.effects.entry(wanted.key.clone()).or_default() += 1;
+            }
+        }
+        let copy = (self.catalogue)(&wanted).map(|size| Copy {
+            version: self.version(wanted.number, wanted.group),
+            size,
+            birth: now,
+        });
+        let code = if copy.is_some() { 200 } else { 404 };
+        let copy = copy.unwrap_or(Copy { version: 0, size: 0, birth: now });
+        let mut answer = self.answer(now, h, WireNote::Hit, copy, &wanted);
+        answer.code = code;
+        self.admit(now, h, job, wanted, answer, None, out);
+    }
+
+    // ---- faults
+
+    fn fault(&mut self, now: Micros, h: HostId, fault: Fault, out: &mut Vec<Out>) {
+        let host = &mut self.hosts[h];
+        let look = match fault {
+            Fault::Hang { until } => {
+                host.faults.hang = until;
+                Some(until)
+            }
+            Fault::Lose { share, until } => {
+                host.faults.lose = (share, until);
+                None
+            }
+            Fault::Cut { share, until } => {
+                host.faults.cut = (share, until);
+                None
+            }
+            Fault::Refuse { until } => {
+                host.faults.refuse = until;
+                None
+            }
+            Fault::Err { share, until } => {
+                host.faults.err = (share, until);
+                None
+            }
+            Fault::Slow { factor, until } => {
+                host.faults.slow = (factor, until);
+                Some(until)
+            }
+            Fault::Die => {
+                if host.up {
+                    self.down(now, h, "the process ended", out);
+                }
+                return;
+            }
+            Fault::Return => {
+                if !host.up {
+                    host.up = true;
+                    host.start += 1;
+                    host.started = Some(now);
+                    host.hits = 0.0;
+                    out.push(Out::Up { host: h });
+                    self.plan_pause(now, h);
+                    self.warm(now, h);
+                    self.refresh(h);
+                }
+                return;
+            }
+        };
+        if let Some(at) = look {
+            host.waits.insert((at, Wait::Look));
+        }
+        self.warm(now, h);
+        self.refresh(h);
+    }
+
+    fn down(&mut self, now: Micros, h: HostId, why: &'static str, out: &mut Vec<Out>) {
+        let fills: Vec<FillId> = self.hosts[h].fills.keys().copied().collect();
+        for fill in fills {
+            self.forget_fill(now, h, fill);
+            out.push(Out::DropFill { host: h, fill });
+        }
+        self.hosts[h].clear();
+        self.hosts[h].up = false;
+        self.refresh(h);
+        out.push(Out::Down { host: h, why });
+    }
+}
+
+impl Wanted {
+    /// Work that must not run twice.
+    pub fn key_is_set(&self) -> bool {
+        !self.key.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/record.rs
@@ -0,0 +1,168 @@
+//! What crossed the sockets, as clients, members and the control stand-in saw it: the auditor's only evidence.
+use pointspindle::Micros;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+/// Names a client's try wherever it goes: the call and the number of the try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TryId {
+    pub call: u64,
+    pub try_no: u32,
+}
+
+impl TryId {
+    pub fn trace(self) -> String {
+        format!("c{}.{}", self.call, self.try_no)
+    }
+
+    pub fn parse(trace: &str) -> Option<Self> {
+        let (call, try_no) = trace.strip_prefix('c')?.split_once('.')?;
+        Some(Self { call: call.parse().ok()?, try_no: try_no.parse().ok()? })
+    }
+}
+
+/// How a try ended for its client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// Complete; with the version that its bytes prove, none if they are wrong.
+    Served {
+        version: Option<u64>,
+        bytes: u64,
+        old: bool,
+    },
+    Refused {
+        come_back: Option<Micros>,
+    },
+    Failed,
+    /// The answer broke off and the client could tell.
+    Broken,
+    /// The connection was lost, or never made, before any answer.
+    Lost,
+    /// The client left by itself.
+    LeftEarly,
+}
+
+/// How an attempt ended at a member's socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    Answered,
+    Cancelled,
+    /// The member's process went, or the connection.
+    Lost,
+}
+
+/// One thing seen.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Saw {
+    Asked {
+        id: TryId,
+        dispatcher: usize,
+        class: usize,
+        number: u64,
+        group: u64,
+        part: u64,
+        deadline: Micros,
+    },
+    Ended {
+        id: TryId,
+        end: End,
+    },
+    /// Something came for a try that had its end.
+    Extra {
+        id: TryId,
+    },
+    /// An attempt, or a fill, arrived at a member.
+    Reached {
+        host: String,
+        /// Which dispatcher sent it; none: a member, for a fill.
+        by: Option<usize>,
+        id: Option<TryId>,
+        attempt: u32,
+        source: Option<String>,
+        class: usize,
+    },
+    Gone {
+        host: String,
+        id: Option<TryId>,
+        attempt: u32,
+        by: Option<usize>,
+        how: Left,
+    },
+    /// Control has told a dispatcher; `whole`: who is absent has left.
+    ToldList {
+        dispatcher: usize,
+        whole: bool,
+        ready: Vec<String>,
+        out: Vec<String>,
+    },
+    ToldPurge {
+        dispatcher: usize,
+        object: Option<u64>,
+        group: u64,
+        version_from: u64,
+    },
+    /// A member's process began; `cold`: not at the run's start.
+    Started {
+        host: String,
+        cold: bool,
+    },
+    Fell {
+        host: String,
+        why: String,
+    },
+    Killed {
+        dispatcher: usize,
+    },
+    Born {
+        dispatcher: usize,
+    },
+    /// For people: what the script did.
+    Trouble {
+        text: String,
+    },
+}
+
+/// One sight with its time, microseconds since the run's start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sight {
+    pub at: Micros,
+    pub saw: Saw,
+}
+
+/// Shared by all who see. Grows with the run: about ten sights a request.
+#[derive(Clone, Debug)]
+pub struct Recorder {
+    born: Instant,
+    sights: Arc<Mutex<Vec<Sight>>>,
+}
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Self { born: Instant::now(), sights: Arc::default() }
+    }
+}
+
+impl Recorder {
+    pub fn now(&self) -> Micros {
+        self.born.elapsed().as_micros() as Micros
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Sight>> {
+        self.sights.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    pub fn saw(&self, saw: Saw) {
+        self.saw_at(self.now(), saw);
+    }
+
+    pub fn saw_at(&self, at: Micros, saw: Saw) {
+        self.lock().push(Sight { at, saw });
+    }
+
+    /// Everything seen so far, by time.
+    pub fn take(&self) -> Vec<Sight> {
+        let mut sights = std::mem::take(&mut *self.lock());
+        sights.sort_by_key(|s| s.at);
+        sights
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/fills.rs
@@ -0,0 +1,60 @@
+//! A fill over a socket: asks the source as any peer would, and tells the world what comes back.
+use super::stage::Stage;
+use super::words;
+use crate::content::Checker;
+use crate::model::{Answer, Copy, FillId, HostId, In, SourceEnd, Wanted};
+use pointspindle_link::{CallEnd, Part};
+use pointspindle_wire::{AnswerHead, LoadReport};
+
+/// Longest wait that a fill tells its source; the world gives up earlier by itself.
+const LEFT_US: u64 = 10_000_000;
+
+pub(crate) async fn run(stage: Stage, host: HostId, fill: FillId, source: String, wanted: Wanted) {
+    let end = ask(&stage, host, fill, &source, &wanted).await;
+    stage.tell(In::SourceEnd { host, fill, end });
+}
+
+async fn ask(stage: &Stage, host: HostId, fill: FillId, source: &str, wanted: &Wanted) -> SourceEnd {
+    let Ok(link) = stage.link(host, source).await else { return SourceEnd::Unreachable };
+    let request = words::request(wanted, &stage.inner().classes, LEFT_US);
+    let Ok(mut call) = link.call(request) else { return SourceEnd::Unreachable };
+    let mut checker = Checker::new(wanted.number, wanted.part);
+    let mut bodyless = false;
+    while let Some(part) = call.next().await {
+        match part {
+            Part::Head(head) => {
+                bodyless = head.not_modified || head.code != 0 || head.size == Some(0);
+                let answer = answer(stage, &head, wanted);
+                stage.tell(In::SourceHead { host, fill, answer });
+            }
+            Part::Data(data) => checker.take(&data),
+            Part::End(CallEnd::Complete(_)) => {
+                // A copy with a wrong byte is no copy.
+                let right = bodyless || checker.finish().1.is_some();
+                return if right { SourceEnd::Complete } else { SourceEnd::Unreachable };
+            }
+            Part::End(CallEnd::Error(e)) => {
+                return SourceEnd::Told { status: e.status(), note: e.note() };
+            }
+            Part::End(CallEnd::Broken(_)) => break,
+        }
+    }
+    SourceEnd::Unreachable
+}
+
+fn answer(stage: &Stage, head: &AnswerHead, wanted: &Wanted) -> Answer {
+    let version = words::version(&head.validator).or(wanted.holds).unwrap_or(0);
+    Answer {
+        note: head.note(),
+        copy: Copy {
+            version,
+            size: head.size.unwrap_or(0),
+            birth: stage.now().saturating_sub(head.age_us),
+        },
+        age: head.age_us,
+        fresh_left: head.fresh_left_us,
+        not_modified: head.not_modified,
+        load: head.load.unwrap_or(LoadReport::default()),
+        code: if head.code == 0 { 200 } else { head.code as u16 },
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/member.rs
@@ -0,0 +1,184 @@
+//! One member's listener: requests become the world's, its words become frames.
+use super::stage::{Stage, Word};
+use super::words::{self, Cut};
+use crate::content::Body;
+use crate::model::{HostId, In, Wanted};
+use crate::record::{Left, Saw, TryId};
+use pointspindle_link::{Inbound, Link, LinkOptions, Responder};
+use pointspindle_wire::streams::Side;
+use pointspindle_wire::*;
+use std::net::SocketAddr;
+use std::time::Instant;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+/// Bytes made at once.
+const PIECE: u64 = 32 * 1024;
+
+pub(crate) async fn serve(stage: Stage, host: HostId, listener: TcpListener) {
+    // Aborting this task drops the set, and with it every connection: as a process that ends.
+    let mut connections = JoinSet::new();
+    while let Ok((socket, peer)) = listener.accept().await {
+        while connections.try_join_next().is_some() {}
+        connections.spawn(connection(stage.clone(), host, socket, peer));
+    }
+}
+
+/// Closes its connection also when its task is aborted.
+struct Closing(Link);
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        self.0.close("the member's process is gone");
+    }
+}
+
+async fn connection(stage: Stage, host: HostId, socket: TcpStream, peer: SocketAddr) {
+    let by = stage.inner().options.dispatchers.get(&peer.ip()).copied();
+    let address = stage.address_of(host);
+    let (link, mut incoming) = Link::start(socket, Side::Answerer, LinkOptions { max_streams: 8192 });
+    let link = Closing(link);
+    let mut requests = JoinSet::new();
+    while let Some(inbound) = incoming.next().await {
+        while requests.try_join_next().is_some() {}
+        match inbound {
+            Inbound::Request(head, responder) => {
+                let link = link.0.clone();
+                requests.spawn(request(stage.clone(), host, address.clone(), by, head, responder, link));
+            }
+            Inbound::Control(Frame::Probe(probe)) if !probe.echo => {
+                let echo = Frame::Probe(ProbeHead { echo: true, ..probe });
+                let _ = link.0.control(echo).await;
+            }
+            Inbound::Control(_) => {}
+        }
+    }
+    while requests.join_next().await.is_some() {}
+}
+
+/// Records how an attempt left its member, also when the task is aborted.
+struct Leaving {
+    stage: Stage,
+    host: HostId,
+    job: u64,
+    gone: Option<(String, Option<TryId>, u32, Option<usize>)>,
+    how: Left,
+    cancel: bool,
+}
+
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        self.stage.forget(self.job);
+        if self.cancel {
+            self.stage.tell(In::Cancel { host: self.host, job: self.job });
+        }
+        if let Some((host, id, attempt, by)) = self.gone.take() {
+            self.stage.inner().recorder.saw(Saw::Gone { host, id, attempt, by, how: self.how });
+        }
+    }
+}
+
+async fn request(
+    stage: Stage,
+    host: HostId,
+    address: String,
+    by: Option<usize>,
+    asked: RequestHead,
+    mut responder: Responder,
+    link: Link,
+) {
+    let came = Instant::now();
+    let mut wanted = words::wanted(&asked, &stage.inner().classes);
+    let id = TryId::parse(&asked.trace);
+    stage.inner().recorder.saw(Saw::Reached {
+        host: address.clone(),
+        by,
+        id,
+        attempt: asked.attempt,
+        source: wanted.source.clone(),
+        class: wanted.class,
+    });
+    if stage.inner().options.deaf_to_age.contains(&address) {
+        wanted.age = u64::MAX / 2;
+    }
+    let body = Body { number: wanted.number, part: wanted.part, version: 0 };
+    let holds = Wanted { ..wanted.clone() };
+    let (job, mut said) = stage.arrive(host, holds);
+    let gone = Some((address, id, asked.attempt, by));
+    let mut leaving = Leaving { stage: stage.clone(), host, job, gone, how: Left::Lost, cancel: true };
+    // Sent with the end: a member that dies in between leaves half an answer.
+    let mut rest: Option<(Body, Cut)> = None;
+    loop {
+        let word = tokio::select! {
+            biased;
+            _ = responder.gone() => {
+                leaving.how = Left::Cancelled;
+                return;
+            }
+            word = said.recv() => word,
+        };
+        match word {
+            Some(Word::Start(answer)) => {
+                let (head, cut) = words::head(&answer, &asked, came.elapsed().as_micros() as u64);
+                let body = Body { version: answer.copy.version, ..body };
+                if responder.head(head).await.is_err() {
+                    leaving.how = Left::Cancelled;
+                    return;
+                }
+                let first = Cut { from: cut.from, len: cut.len / 2 };
+                if send(&mut responder, body, first).await.is_err() {
+                    leaving.how = Left::Cancelled;
+                    return;
+                }
+                rest = Some((body, Cut { from: cut.from + first.len, len: cut.len - first.len }));
+            }
+            Some(Word::Finish) => {
+                leaving.cancel = false;
+                let sent = match rest {
+                    Some((body, cut)) => send(&mut responder, body, cut).await,
+                    None => Ok(()),
+                };
+                leaving.how = if sent.is_ok() { Left::Answered } else { Left::Cancelled };
+                if sent.is_ok() {
+                    let _ = responder.end(None).await;
+                }
+                return;
+            }
+            Some(Word::Reject { status, note, ran, load }) => {
+                leaving.cancel = false;
+                leaving.how = Left::Answered;
+                let error = ErrorHead {
+                    status: status as i32,
+                    note: note as i32,
+                    may_have_run: ran,
+                    load: Some(load),
+                    elapsed_us: came.elapsed().as_micros() as u64,
+                    ..Default::default()
+                };
+                let _ = responder.error(error).await;
+                return;
+            }
+            Some(Word::Cut) => {
+                leaving.cancel = false;
+                responder.leave_silent();
+                link.close("cut by the script");
+                return;
+            }
+            Some(Word::Down) | None => {
+                leaving.cancel = false;
+                responder.leave_silent();
+                return;
+            }
+        }
+    }
+}
+
+async fn send(responder: &mut Responder, body: Body, cut: Cut) -> Result<(), pointspindle_link::LinkError> {
+    let mut at = cut.from;
+    while at < cut.from + cut.len {
+        let len = PIECE.min(cut.from + cut.len - at);
+        responder.data(body.bytes(at, len as usize)).await?;
+        at += len;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/sockets/mod.rs
@@ -0,0 +1,7 @@
+//! The model behind real sockets: every member a listener of its own on the main protocol.
+mod fills;
+mod member;
+mod stage;
+mod words;
+
+pub use stage::{Stage, StageOptions};
--- /dev/null
+++ b/crates/lab/src/sockets/words.rs
@@ -0,0 +1,111 @@
+//! Frames' heads in the model's terms, and back.
+use crate::model::{Answer, ClassModel, Wanted};
+use pointspindle::ObjectId;
+use pointspindle_wire::range::{Applied, Range};
+use pointspindle_wire::{AnswerHead, FetchHead, RequestHead};
+use std::sync::Arc;
+
+pub fn validator(version: u64) -> String {
+    format!("\"v{version}\"")
+}
+
+pub fn version(validator: &str) -> Option<u64> {
+    validator.trim().trim_start_matches("W/").trim_matches('"').strip_prefix('v')?.parse().ok()
+}
+
+pub fn wanted(head: &RequestHead, classes: &[ClassModel]) -> Wanted {
+    let fetch = head.fetch.clone().unwrap_or_default();
+    // A plain look and a fetch without a source want what is held.
+    let held_only = fetch.held_only || (head.fetch.is_none() && head.key.is_empty());
+    Wanted {
+        object: Arc::from(head.object.as_str()),
+        number: ObjectId::named(&head.object).0,
+        part: head.part,
+        group: head.group,
+        class: classes.iter().position(|c| c.name == head.class).unwrap_or(usize::MAX),
+        source: (!fetch.source.is_empty()).then_some(fetch.source),
+        keep: fetch.keep as u8,
+        age: fetch.age_us,
+        join: fetch.join,
+        held_only,
+        renew: fetch.renew,
+        holds: version(&head.if_none_match),
+        key: Arc::from(head.key.as_str()),
+        trace: Arc::from(head.trace.as_str()),
+        attempt: head.attempt,
+    }
+}
+
+/// A fill as it goes to its source.
+pub fn request(wanted: &Wanted, classes: &[ClassModel], left_us: u64) -> RequestHead {
+    let fetch = FetchHead {
+        source: String::new(),
+        keep: wanted.keep as u32,
+        age_us: wanted.age,
+        join: wanted.join,
+        held_only: wanted.held_only,
+        renew: false,
+    };
+    RequestHead {
+        object: wanted.object.to_string(),
+        part: wanted.part,
+        group: wanted.group,
+        class: classes.get(wanted.class).map(|c| c.name.clone()).unwrap_or_default(),
+        left_us,
+        fetch: Some(fetch),
+        trace: wanted.trace.to_string(),
+        attempt: wanted.attempt,
+        key: wanted.key.to_string(),
+        if_none_match: wanted.holds.map(validator).unwrap_or_default(),
+        ..Default::default()
+    }
+}
+
+/// Which bytes of the body an answer carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut {
+    pub from: u64,
+    pub len: u64,
+}
+
+/// The head of an answer, with the range that was asked for applied.
+pub fn head(answer: &Answer, asked: &RequestHead, elapsed_us: u64) -> (AnswerHead, Cut) {
+    let whole = answer.copy.size;
+    let validator = validator(answer.copy.version);
+    let range_wanted =
+        !asked.range.is_empty() && (asked.if_range.is_empty() || asked.if_range == validator);
+    let range = range_wanted.then(|| Range::parse(&asked.range)).flatten().map(|r| r.apply(whole));
+    let mut head = AnswerHead {
+        note: answer.note as i32,
+        size: Some(whole),
+        age_us: answer.age,
+        validator,
+        content_type: "text/plain".into(),
+        not_modified: answer.not_modified,
+        elapsed_us,
+        load: Some(answer.load),
+        fresh_left_us: answer.fresh_left,
+        code: if answer.code == 200 { 0 } else { answer.code as u32 },
+        ..Default::default()
+    };
+    let mut cut = Cut { from: 0, len: whole };
+    match range {
+        Some(Applied::Part(first, last)) if !answer.not_modified => {
+            cut = Cut { from: first, len: last + 1 - first };
+            head.size = Some(cut.len);
+            head.range_first = Some(first);
+            head.whole_size = Some(whole);
+        }
+        Some(Applied::Unsatisfiable) if !answer.not_modified => {
+            cut.len = 0;
+            head.size = Some(0);
+            head.whole_size = Some(whole);
+            head.unsatisfiable = true;
+        }
+        _ => {}
+    }
+    if answer.not_modified || asked.head_only {
+        cut.len = 0;
+    }
+    (head, cut)
+}
--- a/crates/link/src/call.rs
+++ b/crates/link/src/call.rs
@@ -44,12 +44,25 @@
         }
         let part = self.parts.recv().await;
         let part = part.unwrap_or_else(|| Part::End(CallEnd::Broken(self.shared.why_closed())));
+        Some(self.noted(part))
+    }
+
+    /// The next part if it is there already.
+    pub fn try_next(&mut self) -> Option<Part> {
+        if self.ended {
+            return None;
+        }
+        let part = self.parts.try_recv().ok()?;
+        Some(self.noted(part))
+    }
+
+    fn noted(&mut self, part: Part) -> Part {
         match &part {
             Part::Data(data) => self.took(data.len() as u32),
             Part::End(_) => self.ended = true,
             Part::Head(_) => {}
         }
-        Some(part)
+        part
     }
 
     /// Gives credit back in halves of the window: a frame for every chunk would double the frames.
