--- /dev/null
+++ b/crates/cli/src/lab.rs
@@ -0,0 +1,149 @@
+//! `pointspindle lab`: rehearse days on loopback and judge them.
+use crate::Failure;
+use pointspindle_lab::audit::Rule;
+use pointspindle_lab::day::{self, Outcome, Plant};
+use pointspindle_lab::scenario::{self, Scenario};
+use std::path::PathBuf;
+
+#[derive(clap::Subcommand)]
+pub enum Command {
+    /// Play a scenario on loopback sockets, dispatchers as processes. Exit status 1: a rule broke; 2: the rig
+    /// could not run, or was itself what was late.
+    Run(RunArguments),
+    /// Check a scenario; names line and reason of everything that is wrong.
+    Check { file: PathBuf },
+}
+
+#[derive(clap::Args)]
+pub struct RunArguments {
+    scenario: PathBuf,
+    /// In place of the file's.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Scale the script to a day of this many seconds.
+    #[arg(long)]
+    seconds: Option<f64>,
+    /// Print one JSON object.
+    #[arg(long)]
+    json: bool,
+    /// Break one rule around an unchanged dispatcher: the auditor must find it.
+    #[arg(long, value_parser = plant)]
+    plant: Option<Plant>,
+    /// Where settings, states and logs of the dispatchers go; a temporary folder by default.
+    #[arg(long)]
+    folder: Option<PathBuf>,
+}
+
+fn plant(word: &str) -> Result<Plant, String> {
+    let words: Vec<&str> = Plant::WORDS.iter().map(|(w, _)| *w).collect();
+    let found = Plant::WORDS.iter().find(|(w, _)| *w == word);
+    found.map(|(_, p)| *p).ok_or(format!("none of {}", words.join(", ")))
+}
+
+pub async fn run(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Run(arguments) => play(arguments).await,
+        Command::Check { file } => match scenario::load(&file, None) {
+            Ok(s) => {
+                println!(
+                    "{}: right; {:.0} s, {} troubles: {}",
+                    file.display(),
+                    s.seconds,
+                    s.troubles.len(),
+                    s.about
+                );
+                Ok(())
+            }
+            Err(complaints) => {
+                println!("{complaints}");
+                Err(Failure::No)
+            }
+        },
+    }
+}
+
+async fn play(arguments: RunArguments) -> Result<(), Failure> {
+    let mut scenario = scenario::load(&arguments.scenario, arguments.seed)?;
+    if let Some(seconds) = arguments.seconds {
+        if !(2.0..=3_600.0).contains(&seconds) {
+            return Err(Failure::CannotRun(format!("--seconds {seconds}: from 2 to 3600")));
+        }
+        scenario = scenario.scaled(seconds);
+    }
+    let program = std::env::current_exe()?;
+    let (folder, temporary) = match arguments.folder {
+        Some(folder) => (folder, false),
+        None => (std::env::temp_dir().join(format!("pointspindle-lab-{}", std::process::id())), true),
+    };
+    if !arguments.json {
+        println!(
+            "{}: {}; seed {}, {:.0} s",
+            scenario.name, scenario.about, scenario.seed, scenario.seconds
+        );
+    }
+    let outcome = day::run(&scenario, &program, &folder, arguments.plant).await;
+    if temporary {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    let outcome = outcome?;
+    if arguments.json {
+        println!("{}", json(&scenario, &outcome));
+    } else {
+        print(&scenario, &outcome);
+    }
+    if outcome.rules.iter().any(|r| !r.breaches.is_empty()) {
+        return Err(Failure::No);
+    }
+    Ok(())
+}
+
+fn json(scenario: &Scenario, outcome: &Outcome) -> String {
+    let rule = |r: &Rule| {
+        serde_json::json!({
+            "name": r.name,
+            "checked": r.checked,
+            "breaches": r.breaches.len(),
+            "kinds": r.kinds().into_iter().collect::<std::collections::BTreeMap<_, _>>(),
+            "first": r.breaches.iter().take(5).collect::<Vec<_>>(),
+        })
+    };
+    let s = &outcome.service;
+    serde_json::json!({
+        "scenario": scenario.name,
+        "seed": scenario.seed,
+        "seconds": scenario.seconds,
+        "service": s.service,
+        "worst_10s": s.worst_10s,
+        "classes": s.classes,
+        "tries": s.tries,
+        "attempts": s.attempts,
+        "rig_late_ms": outcome.rig_late_ms,
+        "rules": outcome.rules.iter().map(rule).collect::<Vec<_>>(),
+    })
+    .to_string()
+}
+
+fn print(scenario: &Scenario, outcome: &Outcome) {
+    let s = &outcome.service;
+    println!(
+        "service {:.3} (worst 10 s {:.3}, from {:.0} s), {} tries, {} attempts, rig at most {:.0} ms late",
+        s.service, s.worst_10s, s.worst_from_s, s.tries, s.attempts, outcome.rig_late_ms
+    );
+    for c in &s.classes {
+        println!(
+            "  {:<14} service {:.3}, calls {}: served {} (late {}), refused {}, failed {}, left {}; p50 {:.0} ms, p99 {:.0} ms",
+            c.name, c.service, c.calls, c.served, c.late, c.refused, c.failed, c.left, c.p50_ms, c.p99_ms
+        );
+    }
+    for r in &outcome.rules {
+        let kinds: Vec<String> = r.kinds().iter().map(|(kind, n)| format!("{kind} {n}")).collect();
+        let broken =
+            if kinds.is_empty() { "kept".into() } else { format!("BROKEN ({})", kinds.join(", ")) };
+        println!("  rule {:<8} {broken}; {} checked: {}", r.name, r.checked, r.about);
+        for b in r.breaches.iter().take(3) {
+            let request = b.request.as_deref().unwrap_or("-");
+            println!("    at {:.0} ms, {request}: {}", b.at_ms, b.detail);
+        }
+    }
+    let _ = scenario;
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit codes: 0 well, 1 the answer is no (a broken rule, wrong settings), 2 it could not run.
 mod control;
+mod lab;
 mod logs;
 mod serve;
 
@@ -33,6 +34,9 @@
     Members(control::MembersArguments),
     /// Tell running dispatchers that an object, or a group of objects, is purged.
     Purge(control::PurgeArguments),
+    /// Rehearse days on loopback and judge them by what went over the sockets.
+    #[command(subcommand)]
+    Lab(lab::Command),
 }
 
 /// Why a command did not do what was asked.
@@ -65,6 +69,7 @@
             Command::Check { file } => check(&file),
             Command::Members(arguments) => control::members(arguments).await,
             Command::Purge(arguments) => control::purge(arguments).await,
+            Command::Lab(command) => lab::run(command).await,
         }
     });
     match done {
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -52,9 +52,10 @@
 
 /// Whole or not at all: whoever waits for the file never reads half of it.
 fn write_whole(file: &std::path::Path, bytes: &[u8]) -> std::io::Result<()> {
-    let beside = file.with_extension("new");
+    let mut beside = file.as_os_str().to_owned();
+    beside.push(".new");
     std::fs::write(&beside, bytes)?;
-    std::fs::rename(beside, file)
+    std::fs::rename(&beside, file)
 }
 
 /// Settings and members of a first try, all on loopback.
--- a/crates/edge/src/net/saver.rs
+++ b/crates/edge/src/net/saver.rs
@@ -52,11 +52,14 @@
 }
 
 fn write(path: &Path, snapshot: &Snapshot) -> std::io::Result<()> {
-    let beside = path.with_extension("new");
-    let mut file = std::fs::File::create(&beside)?;
+    // The whole name and more: two files that differ in their endings must not meet beside their places.
+    let mut beside = path.as_os_str().to_owned();
+    beside.push(".new");
+    let beside = Path::new(&beside);
+    let mut file = std::fs::File::create(beside)?;
     file.write_all(&snapshot.to_bytes(unix_ms()))?;
     file.sync_all()?;
-    std::fs::rename(&beside, path)?;
+    std::fs::rename(beside, path)?;
     // The name is durable once its folder is.
     let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
     std::fs::File::open(folder)?.sync_all()
--- /dev/null
+++ b/crates/lab/src/audit/drains.rs
@@ -0,0 +1,46 @@
+//! Rule: drains are kept. Nothing new to a member, nor with it as a source, once the grace is over.
+use super::{Evidence, Rule};
+use crate::record::Saw;
+use pointspindle::Micros;
+use std::collections::HashMap;
+
+pub(super) fn judge(e: &Evidence) -> Rule {
+    let mut rule = Rule::new("drains", "nothing new to a drained or gone member, nor with it as a source");
+    // Since when each dispatcher knows that a member drains or is gone.
+    let mut out: HashMap<(usize, String), Micros> = HashMap::new();
+    let late = e.scenario.rules.drain_grace + e.slack;
+    for sight in e.sights {
+        match &sight.saw {
+            Saw::ToldList { dispatcher, whole, ready, out: left } => {
+                for host in ready {
+                    out.remove(&(*dispatcher, host.clone()));
+                }
+                if *whole {
+                    out.retain(|(d, host), _| d != dispatcher || left.contains(host));
+                }
+                for host in left {
+                    out.entry((*dispatcher, host.clone())).or_insert(sight.at);
+                    rule.checked += 1;
+                }
+            }
+            Saw::Killed { dispatcher } => out.retain(|(d, _), _| d != dispatcher),
+            Saw::Reached { host, by: Some(by), id, source, .. } => {
+                let mut look = |member: &String, what: &str| {
+                    let Some(since) = out.get(&(*by, member.clone())) else { return };
+                    if sight.at > since + late {
+                        let after = (sight.at - since) as f64 / 1e3;
+                        let detail =
+                            format!("dispatcher {by} {what} {member} {after:.0} ms after the notice");
+                        rule.breach("drain", sight.at, *id, detail);
+                    }
+                };
+                look(host, "sent to");
+                if let Some(source) = source {
+                    look(source, "named as source");
+                }
+            }
+            _ => {}
+        }
+    }
+    rule
+}
--- /dev/null
+++ b/crates/lab/src/audit/effects.rs
@@ -0,0 +1,39 @@
+//! Rule: no effect happens twice. Never two attempts at once, no attempt sent twice, no work run twice.
+use super::{Evidence, Rule};
+use crate::scenario::Effect;
+
+pub(super) fn judge(e: &Evidence, effects: &[(String, u32)]) -> Rule {
+    let mut rule = Rule::new("effects", "no two attempts at once, and no work that must not run twice");
+    for t in &e.tries {
+        rule.checked += t.attempts.len() as u64;
+        for (n, b) in t.attempts.iter().enumerate() {
+            for a in &t.attempts[..n] {
+                if a.number == b.number {
+                    let detail = format!("attempt {} reached {} and {}", a.number, a.host, b.host);
+                    rule.breach("double", b.from, Some(t.id), detail);
+                    continue;
+                }
+                // An attempt that was never seen to end was live to the end of the run.
+                let end = a.to.unwrap_or(e.over);
+                if end > b.from + e.slack {
+                    let both = (end.min(b.to.unwrap_or(e.over)) - b.from) as f64 / 1e3;
+                    if both * 1e3 > e.slack as f64 {
+                        let detail = format!("at {} and {} together for {both:.0} ms", a.host, b.host);
+                        rule.breach("double", b.from, Some(t.id), detail);
+                    }
+                }
+            }
+        }
+        if e.scenario.classes[t.class].effect == Effect::Unsafe && t.attempts.len() > 1 {
+            // Whether an earlier one had run is the origin's to say, below.
+            rule.checked += 1;
+        }
+    }
+    for (work, times) in effects {
+        rule.checked += 1;
+        if *times > 1 {
+            rule.breach("repeat", e.over, None, format!("{work} ran {times} times"));
+        }
+    }
+    rule
+}
--- /dev/null
+++ b/crates/lab/src/audit/mod.rs
@@ -0,0 +1,177 @@
+//! Judges a run by the five rules, from what crossed the sockets ([`Sight`]s) and nothing else.
+//!
+//! A dispatcher's own word counts for nothing here. Each rule tells how many cases it looked at, so that one that
+//! was never exercised shows, and each breach names its kind, the try and the moment.
+mod answers;
+mod cold;
+mod drains;
+mod effects;
+mod purges;
+pub mod service;
+
+use crate::record::{Saw, Sight, TryId};
+use crate::scenario::Scenario;
+use pointspindle::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// A broken rule, once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Breach {
+    /// What it is called: `silent`, `late`, `twice`, `after`, `wrong`, `double`, `repeat`, `drain`, `cold`, `purge`.
+    pub kind: String,
+    pub at_ms: f64,
+    /// The try, where there is one.
+    pub request: Option<String>,
+    pub detail: String,
+}
+
+/// One rule's verdict.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rule {
+    pub name: String,
+    pub about: String,
+    /// Cases that could have broken it.
+    pub checked: u64,
+    pub breaches: Vec<Breach>,
+}
+
+impl Rule {
+    fn new(name: &str, about: &str) -> Self {
+        Self { name: name.into(), about: about.into(), checked: 0, breaches: Vec::new() }
+    }
+
+    fn breach(&mut self, kind: &str, at: Micros, id: Option<TryId>, detail: String) {
+        let request = id.map(TryId::trace);
+        self.breaches.push(Breach { kind: kind.into(), at_ms: at as f64 / 1e3, request, detail });
+    }
+
+    /// How many breaches of each kind.
+    pub fn kinds(&self) -> Vec<(String, usize)> {
+        let mut counts: std::collections::BTreeMap<String, usize> = Default::default();
+        for breach in &self.breaches {
+            *counts.entry(breach.kind.clone()).or_default() += 1;
+        }
+        counts.into_iter().collect()
+    }
+}
+
+/// One attempt at a member, as its socket saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub host: String,
+    pub by: usize,
+    pub number: u32,
+    pub from: Micros,
+    /// None: never seen to end.
+    pub to: Option<Micros>,
+}
+
+/// A try of a client with all that belongs to it.
+#[derive(Clone, Debug)]
+pub(crate) struct Try {
+    pub id: TryId,
+    pub dispatcher: usize,
+    pub class: usize,
+    pub group: u64,
+    pub asked: Micros,
+    pub deadline: Micros,
+    pub ends: Vec<(Micros, crate::record::End)>,
+    pub extras: Vec<Micros>,
+    pub attempts: Vec<Attempt>,
+}
+
+/// The sights sorted by what they are about.
+pub(crate) struct Evidence<'a> {
+    pub scenario: &'a Scenario,
+    pub sights: &'a [Sight],
+    pub tries: Vec<Try>,
+    /// When each dispatcher was down.
+    pub down: Vec<(usize, Micros, Micros)>,
+    pub slack: Micros,
+    /// When the run was over.
+    pub over: Micros,
+}
+
+impl<'a> Evidence<'a> {
+    fn new(scenario: &'a Scenario, sights: &'a [Sight]) -> Self {
+        let mut tries: Vec<Try> = Vec::new();
+        let mut places: HashMap<TryId, usize> = HashMap::new();
+        let mut down = Vec::new();
+        let mut killed: HashMap<usize, Micros> = HashMap::new();
+        for sight in sights {
+            let at = sight.at;
+            let place = |id: &TryId| places.get(id).copied();
+            match &sight.saw {
+                Saw::Asked { id, dispatcher, class, group, deadline, .. } => {
+                    places.insert(*id, tries.len());
+                    tries.push(Try {
+                        id: *id,
+                        dispatcher: *dispatcher,
+                        class: *class,
+                        group: *group,
+                        asked: at,
+                        deadline: *deadline,
+                        ends: vec![],
+                        extras: vec![],
+                        attempts: vec![],
+                    });
+                }
+                Saw::Ended { id, end } => {
+                    if let Some(n) = place(id) {
+                        tries[n].ends.push((at, end.clone()));
+                    }
+                }
+                Saw::Extra { id } => {
+                    if let Some(n) = place(id) {
+                        tries[n].extras.push(at);
+                    }
+                }
+                Saw::Reached { host, by: Some(by), id: Some(id), attempt, .. } => {
+                    if let Some(n) = place(id) {
+                        let (host, by, number) = (host.clone(), *by, *attempt);
+                        let attempt = Attempt { host, by, number, from: at, to: None };
+                        tries[n].attempts.push(attempt);
+                    }
+                }
+                Saw::Gone { host, id: Some(id), attempt, by: Some(_), .. } => {
+                    let Some(n) = place(id) else { continue };
+                    let open = |a: &&mut Attempt| a.to.is_none() && a.host == *host && a.number == *attempt;
+                    if let Some(attempt) = tries[n].attempts.iter_mut().find(open) {
+                        attempt.to = Some(at);
+                    }
+                }
+                Saw::Killed { dispatcher } => {
+                    killed.insert(*dispatcher, at);
+                }
+                Saw::Born { dispatcher } => {
+                    if let Some(from) = killed.remove(dispatcher) {
+                        down.push((*dispatcher, from, at));
+                    }
+                }
+                _ => {}
+            }
+        }
+        let over = sights.last().map_or(0, |s| s.at);
+        down.extend(killed.into_iter().map(|(dispatcher, from)| (dispatcher, from, over)));
+        Self { scenario, sights, tries, down, slack: scenario.rules.slack, over }
+    }
+
+    /// Whether the dispatcher was killed, or away, at some time in a span.
+    pub fn was_down(&self, dispatcher: usize, from: Micros, to: Micros) -> bool {
+        let slack = self.slack;
+        self.down.iter().any(|(d, a, b)| *d == dispatcher && *a <= to + slack && from <= *b + slack)
+    }
+}
+
+/// All five rules over a run. `effects` says how often each piece of work has run, as the origin counted.
+pub fn judge(scenario: &Scenario, sights: &[Sight], effects: &[(String, u32)]) -> Vec<Rule> {
+    let evidence = Evidence::new(scenario, sights);
+    vec![
+        answers::judge(&evidence),
+        effects::judge(&evidence, effects),
+        drains::judge(&evidence),
+        cold::judge(&evidence),
+        purges::judge(&evidence),
+    ]
+}
--- /dev/null
+++ b/crates/lab/src/audit/purges.rs
@@ -0,0 +1,42 @@
+//! Rule: purges are kept. What is sent after the grace is not answered from an older copy.
+use super::{Evidence, Rule};
+use crate::record::{End, Saw};
+use pointspindle::Micros;
+use std::collections::HashMap;
+
+/// A purge as one dispatcher was told it.
+struct Told {
+    at: Micros,
+    /// Copies from then on have at least this version.
+    version: u64,
+}
+
+pub(super) fn judge(e: &Evidence) -> Rule {
+    let mut rule = Rule::new("purges", "nothing sent after a purge's grace is answered from an older copy");
+    let mut told: HashMap<(usize, u64), Vec<Told>> = HashMap::new();
+    for sight in e.sights {
+        if let Saw::ToldPurge { dispatcher, group, version_from } = &sight.saw {
+            let new = Told { at: sight.at, version: *version_from };
+            told.entry((*dispatcher, *group)).or_default().push(new);
+        }
+    }
+    let late = e.scenario.rules.purge_grace + e.slack;
+    for t in &e.tries {
+        let Some((at, End::Served { version: Some(version), .. })) = t.ends.first() else { continue };
+        // The answer came from the last attempt that was out before it.
+        let Some(attempt) = t.attempts.iter().rfind(|a| a.from <= *at) else { continue };
+        let Some(purges) = told.get(&(attempt.by, t.group)) else { continue };
+        let due = purges.iter().filter(|p| attempt.from > p.at + late);
+        let Some(newest) = due.max_by_key(|p| p.version) else { continue };
+        rule.checked += 1;
+        if *version < newest.version {
+            let after = (attempt.from - newest.at) as f64 / 1e3;
+            let detail = format!(
+                "version {version} sent for {after:.0} ms after a purge to version {} was told",
+                newest.version
+            );
+            rule.breach("purge", *at, Some(t.id), detail);
+        }
+    }
+    rule
+}
--- /dev/null
+++ b/crates/lab/src/audit/service.rs
@@ -0,0 +1,126 @@
+//! What a day was worth to its clients: worth answered in time over worth asked for.
+use super::Evidence;
+use crate::record::{End, Sight};
+use crate::scenario::{Scenario, Traffic};
+use pointspindle::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Seconds of the worst stretch.
+const STRETCH: usize = 10;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ClassService {
+    pub name: String,
+    pub calls: u64,
+    /// Calls by how they ended; `late` ones were served after their aim.
+    pub served: u64,
+    pub late: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub left: u64,
+    pub service: f64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Worth in time over worth asked for, by calls from their first try on.
+    pub service: f64,
+    /// The same over the worst 10 s (of the run's length, if it is shorter), and when it began.
+    pub worst_10s: f64,
+    pub worst_from_s: f64,
+    pub classes: Vec<ClassService>,
+    /// Asked and earned by second, for plots.
+    pub by_second: Vec<(f64, f64)>,
+    pub tries: u64,
+    pub attempts: u64,
+}
+
+/// Earned by a call: its first served try, judged from its first one on.
+fn earned(scenario: &Scenario, class: usize, size: u64, took: Micros, old: bool) -> (f64, bool) {
+    let c = &scenario.classes[class];
+    let own = size as f64 / scenario.flow * 1e6;
+    let aim = c.aim as f64 + c.aim_stretch * own;
+    let in_time = took as f64 <= aim;
+    let mut worth = c.worth * if in_time { 1.0 } else { c.late_worth };
+    if old {
+        worth *= c.old_worth;
+    }
+    (worth, in_time)
+}
+
+pub fn service(scenario: &Scenario, traffic: &Traffic, sights: &[Sight]) -> Service {
+    let evidence = Evidence::new(scenario, sights);
+    let mut tries: HashMap<u64, Vec<usize>> = HashMap::new();
+    for (n, t) in evidence.tries.iter().enumerate() {
+        tries.entry(t.id.call).or_default().push(n);
+    }
+    let blank = |c: &crate::scenario::ClassDay| ClassService { name: c.name.clone(), ..Default::default() };
+    let mut classes: Vec<ClassService> = scenario.classes.iter().map(blank).collect();
+    let mut sums = vec![(0.0, 0.0); classes.len()];
+    let new_histogram = || hdrhistogram::Histogram::<u64>::new_with_bounds(1, 600_000_000, 3);
+    let mut times: Vec<_> = classes.iter().map(|_| new_histogram().expect("fixed bounds")).collect();
+    let mut by_second = vec![(0.0, 0.0); scenario.seconds.ceil() as usize];
+    for (n, call) in traffic.calls.iter().enumerate().filter(|(_, c)| c.at >= scenario.warm) {
+        let class = &mut classes[call.class];
+        class.calls += 1;
+        let worth = scenario.classes[call.class].worth;
+        let mine = tries.get(&(n as u64)).map_or(&[][..], |t| t.as_slice());
+        let ends: Vec<_> = mine.iter().flat_map(|n| evidence.tries[*n].ends.first()).collect();
+        let served = ends.iter().find_map(|(at, end)| match end {
+            End::Served { version: Some(_), old, .. } => Some((*at, *old)),
+            _ => None,
+        });
+        let mut got = 0.0;
+        if ends.iter().any(|(_, end)| *end == End::LeftEarly) && served.is_none() {
+            // Asked for and not wanted any more: neither for nor against.
+            class.left += 1;
+            continue;
+        }
+        match served {
+            Some((at, old)) => {
+                let took = at.saturating_sub(call.at);
+                let (worth, in_time) = earned(scenario, call.class, call.size, took, old);
+                got = worth;
+                class.served += 1;
+                class.late += !in_time as u64;
+                let _ = times[call.class].record(took.max(1));
+            }
+            None if ends.last().is_some_and(|(_, end)| matches!(end, End::Refused { .. })) => {
+                class.refused += 1
+            }
+            None => class.failed += 1,
+        }
+        sums[call.class].0 += worth;
+        sums[call.class].1 += got;
+        if let Some(second) = by_second.get_mut((call.at / 1_000_000) as usize) {
+            second.0 += worth;
+            second.1 += got;
+        }
+    }
+    let ratio = |(asked, got): (f64, f64)| if asked > 0.0 { got / asked } else { 1.0 };
+    for (n, class) in classes.iter_mut().enumerate() {
+        class.service = ratio(sums[n]);
+        class.p50_ms = times[n].value_at_quantile(0.5) as f64 / 1e3;
+        class.p99_ms = times[n].value_at_quantile(0.99) as f64 / 1e3;
+    }
+    let all = sums.iter().fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
+    let first = (scenario.warm / 1_000_000) as usize;
+    let counted = &by_second[first.min(by_second.len())..];
+    let width = STRETCH.min(counted.len().max(1));
+    let stretches = counted.windows(width).enumerate();
+    let sum = |w: &[(f64, f64)]| w.iter().fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
+    let worst = stretches.map(|(n, w)| (ratio(sum(w)), n)).min_by(|a, b| a.0.total_cmp(&b.0));
+    let (worst_10s, from) = worst.unwrap_or((1.0, 0));
+    Service {
+        service: ratio(all),
+        worst_10s,
+        worst_from_s: (first + from) as f64,
+        classes,
+        by_second,
+        tries: evidence.tries.len() as u64,
+        attempts: evidence.tries.iter().map(|t| t.attempts.len() as u64).sum(),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/book.rs
@@ -0,0 +1,159 @@
+//! The source of lists and purges: what is true, and what each dispatcher is told of it when.
+//!
+//! Each dispatcher hears of every change in order, each after a delay of its own.
+use crate::model::{HostId, HostSpec};
+use crate::scenario::script::Listed;
+use crate::scenario::{stream, RulesDay};
+use pointspindle::Micros;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::VecDeque;
+
+/// A member's line at the moment of a change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    pub host: HostId,
+    pub address: String,
+    pub listed: Listed,
+    pub start: u64,
+    /// None: long ago.
+    pub started: Option<Micros>,
+}
+
+/// What a dispatcher is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// Changed lines, and the number of the list.
+    Delta(u64, Vec<Line>),
+    Full(u64, Vec<Line>),
+    /// An object group and when it was purged.
+    Purge {
+        group: u64,
+        at: Micros,
+    },
+}
+
+#[derive(Debug, Default)]
+struct Ear {
+    seq: u64,
+    waiting: VecDeque<(Micros, Told)>,
+    /// Down: nothing can be told.
+    deaf: bool,
+}
+
+#[derive(Debug)]
+pub struct Book {
+    rules: RulesDay,
+    lines: Vec<Line>,
+    ears: Vec<Ear>,
+    purges: VecDeque<(Micros, u64)>,
+    more: (Micros, Micros),
+    rng: StdRng,
+}
+
+impl Book {
+    pub fn new(rules: RulesDay, hosts: &[HostSpec], dispatchers: usize, seed: u64) -> Self {
+        let line = |(host, spec): (HostId, &HostSpec)| Line {
+            host,
+            address: spec.address.clone(),
+            listed: Listed::Ready,
+            start: 1,
+            started: None,
+        };
+        Self {
+            rules,
+            lines: hosts.iter().enumerate().map(line).collect(),
+            ears: (0..dispatchers).map(|_| Ear::default()).collect(),
+            purges: VecDeque::new(),
+            more: (0, 0),
+            rng: StdRng::seed_from_u64(stream(seed, "book")),
+        }
+    }
+
+    /// The line of a member under another address: a relay in front of it.
+    pub fn rename(&mut self, host: HostId, address: String) {
+        if let Some(line) = self.lines.iter_mut().find(|l| l.host == host) {
+            line.address = address;
+        }
+    }
+
+    /// List changes are told `more` later until then.
+    pub fn delay(&mut self, more: Micros, until: Micros) {
+        self.more = (more, until);
+    }
+
+    pub fn change(&mut self, now: Micros, line: Line) {
+        match self.lines.iter_mut().find(|l| l.host == line.host) {
+            Some(known) => *known = Line { address: known.address.clone(), ..line.clone() },
+            None => self.lines.push(line.clone()),
+        }
+        let line = self.lines.iter().find(|l| l.host == line.host).cloned().unwrap_or(line);
+        let more = if now < self.more.1 { self.more.0 } else { 0 };
+        for ear in self.ears.iter_mut().filter(|e| !e.deaf) {
+            let (least, most) = self.rules.list_told;
+            let due = now + more + self.rng.gen_range(least..=most);
+            // In order: a change waits for the one before it.
+            let last = ear.waiting.iter().rev().find(|(_, t)| matches!(t, Told::Delta(..)));
+            let due = due.max(last.map_or(0, |(at, _)| *at));
+            ear.seq += 1;
+            let told = Told::Delta(ear.seq, vec![line.clone()]);
+            ear.push(due, told);
+        }
+    }
+
+    pub fn purge(&mut self, now: Micros, group: u64) {
+        self.purges.push_back((now, group));
+        let keep = self.rules.purge_done + 1_000_000;
+        self.purges.retain(|(at, _)| at + keep > now);
+        for ear in self.ears.iter_mut().filter(|e| !e.deaf) {
+            let (least, most) = self.rules.purge_told;
+            let due = now + self.rng.gen_range(least..=most);
+            ear.push(due, Told::Purge { group, at: now });
+        }
+    }
+
+    /// A dispatcher is down.
+    pub fn deafen(&mut self, dispatcher: usize) {
+        let ear = &mut self.ears[dispatcher];
+        ear.deaf = true;
+        ear.waiting.clear();
+    }
+
+    /// A dispatcher starts: the purges that may still matter at once, and the whole list.
+    pub fn hear(&mut self, now: Micros, dispatcher: usize) {
+        let lines: Vec<Line> = self.lines.iter().filter(|l| l.listed != Listed::Gone).cloned().collect();
+        let ear = &mut self.ears[dispatcher];
+        ear.deaf = false;
+        ear.seq += 1;
+        for (at, group) in &self.purges {
+            ear.waiting.push_back((now, Told::Purge { group: *group, at: *at }));
+        }
+        let seq = ear.seq;
+        ear.waiting.push_back((now, Told::Full(seq, lines)));
+    }
+
+    pub fn next(&self) -> Option<Micros> {
+        self.ears.iter().filter_map(|e| e.waiting.front().map(|(at, _)| *at)).min()
+    }
+
+    /// What is to be told by now, dispatcher by dispatcher.
+    pub fn due(&mut self, now: Micros) -> Vec<(usize, Told)> {
+        let mut out = Vec::new();
+        for (dispatcher, ear) in self.ears.iter_mut().enumerate() {
+            while ear.waiting.front().is_some_and(|(at, _)| *at <= now) {
+                if let Some((_, told)) = ear.waiting.pop_front() {
+                    out.push((dispatcher, told));
+                }
+            }
+        }
+        out
+    }
+}
+
+impl Ear {
+    /// By time; what is due together stays in the order of its happening.
+    fn push(&mut self, due: Micros, told: Told) {
+        let place = self.waiting.partition_point(|(at, _)| *at <= due);
+        self.waiting.insert(place, (due, told));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/day/control.rs
@@ -0,0 +1,154 @@
+//! The control stand-in: tells dispatchers what the book says, when it says so.
+use super::Plant;
+use crate::book::{Book, Line, Told};
+use crate::record::{Recorder, Saw};
+use crate::scenario::script::Listed;
+use crate::sockets::Stage;
+use pointspindle::Micros;
+use pointspindle_link::{Link, LinkOptions};
+use pointspindle_wire::streams::Side;
+use pointspindle_wire::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+
+/// News for the book.
+pub enum News {
+    Change(Line),
+    Purge {
+        group: u64,
+    },
+    Delay {
+        more: Micros,
+        until: Micros,
+    },
+    Down {
+        dispatcher: usize,
+    },
+    /// It listens; answered once it has been told the whole list.
+    Up {
+        dispatcher: usize,
+        at: SocketAddr,
+        done: oneshot::Sender<()>,
+    },
+}
+
+pub struct Control {
+    pub book: Book,
+    pub stage: Stage,
+    pub recorder: Recorder,
+    /// By member: role and zone, for list lines.
+    pub members: HashMap<usize, (String, String, f64)>,
+    pub plant: Option<Plant>,
+}
+
+impl Control {
+    pub async fn run(mut self, mut news: mpsc::UnboundedReceiver<News>) {
+        let mut links: HashMap<usize, Link> = HashMap::new();
+        let mut waiting: HashMap<usize, oneshot::Sender<()>> = HashMap::new();
+        loop {
+            let now = self.recorder.now();
+            for (dispatcher, told) in self.book.due(now) {
+                if let Some(link) = links.get(&dispatcher) {
+                    self.tell(dispatcher, link, told).await;
+                }
+                if let Some(done) = waiting.remove(&dispatcher) {
+                    let _ = done.send(());
+                }
+            }
+            let wait = self.book.next().map(|at| Duration::from_micros(at.saturating_sub(now)));
+            let next = tokio::select! {
+                next = news.recv() => next,
+                _ = tokio::time::sleep(wait.unwrap_or(Duration::from_secs(3_600))) => continue,
+            };
+            let now = self.recorder.now();
+            match next {
+                None => return,
+                Some(News::Change(line)) => self.book.change(now, line),
+                Some(News::Purge { group }) => self.book.purge(now, group),
+                Some(News::Delay { more, until }) => self.book.delay(more, until),
+                Some(News::Down { dispatcher }) => {
+                    self.book.deafen(dispatcher);
+                    if let Some(link) = links.remove(&dispatcher) {
+                        link.close("the dispatcher is gone");
+                    }
+                }
+                Some(News::Up { dispatcher, at, done }) => {
+                    let connected =
+                        tokio::time::timeout(Duration::from_secs(2), TcpStream::connect(at)).await;
+                    let Ok(Ok(socket)) = connected else {
+                        tracing::error!(dispatcher, "control cannot connect");
+                        continue;
+                    };
+                    let (link, mut incoming) = Link::start(socket, Side::Caller, LinkOptions::default());
+                    tokio::spawn(async move { while incoming.next().await.is_some() {} });
+                    links.insert(dispatcher, link);
+                    waiting.insert(dispatcher, done);
+                    self.book.hear(now, dispatcher);
+                }
+            }
+        }
+    }
+
+    async fn tell(&mut self, dispatcher: usize, link: &Link, told: Told) {
+        let now = self.recorder.now();
+        let (frame, saw, hidden) = match told {
+            Told::Purge { group, at } => {
+                let version_from = self.stage.with(|w| w.version(0, group));
+                let age_us = now.saturating_sub(at);
+                let head = PurgeHead { object: None, group, age_us, seq: 0 };
+                (Frame::Purge(head), Saw::ToldPurge { dispatcher, group, version_from }, false)
+            }
+            Told::Delta(seq, lines) => self.list(dispatcher, ListForm::Delta, seq, lines, now),
+            Told::Full(seq, lines) => self.list(dispatcher, ListForm::Full, seq, lines, now),
+        };
+        // Seen as told before it can take effect.
+        self.recorder.saw(saw);
+        if !hidden {
+            let _ = link.control(frame).await;
+        }
+    }
+
+    fn list(
+        &self,
+        dispatcher: usize,
+        form: ListForm,
+        seq: u64,
+        lines: Vec<Line>,
+        now: Micros,
+    ) -> (Frame, Saw, bool) {
+        let of = |wanted: bool| -> Vec<String> {
+            let fits = |l: &&Line| (l.listed == Listed::Ready) == wanted;
+            lines.iter().filter(fits).map(|l| l.address.clone()).collect()
+        };
+        let whole = form == ListForm::Full;
+        let saw = Saw::ToldList { dispatcher, whole, ready: of(true), out: of(false) };
+        // Claims to have told of drains and did not.
+        let hidden = self.plant == Some(Plant::Drain) && lines.iter().any(|l| l.listed == Listed::Draining);
+        let members = lines.iter().map(|l| self.line(l, now)).collect();
+        (Frame::Members(ListHead { form: form as i32, seq, members }), saw, hidden)
+    }
+
+    fn line(&self, l: &Line, now: Micros) -> MemberLine {
+        let (kind, zone, weight) = self.members.get(&l.host).cloned().unwrap_or_default();
+        let state = match l.listed {
+            Listed::Ready => WireState::Ready,
+            Listed::Draining => WireState::Draining,
+            Listed::Gone => WireState::Gone,
+        };
+        // Hides a cold start.
+        let started = l.started.filter(|_| self.plant != Some(Plant::Cold));
+        MemberLine {
+            address: l.address.clone(),
+            state: state as i32,
+            weight,
+            zone,
+            kind,
+            cell: 0,
+            start: l.start,
+            started_ago_us: started.map(|at| now.saturating_sub(at)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/day/mod.rs
@@ -0,0 +1,308 @@
+//! A scenario on loopback sockets in real time: dispatchers as processes, members as stand-ins, clients, control.
+mod clients;
+mod control;
+mod http_client;
+mod process;
+mod relay;
+mod settings;
+
+use crate::audit::{self, service::Service, Rule};
+use crate::book::{Book, Line};
+use crate::model::{HostSpec, In, Role, World};
+use crate::record::{Recorder, Saw, Sight};
+use crate::scenario::script::{purge_groups, Listed};
+use crate::scenario::{stream, Scenario, Script, Step, Traffic};
+use crate::sockets::{Stage, StageOptions, EPOCH};
+use clients::{Clients, Target};
+use control::{Control, News};
+use pointspindle::Micros;
+use process::{source_ip, Process};
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+
+/// A fault made by the rig around an unchanged dispatcher; the auditor must find it under its own name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// Control claims to have told of drains and did not.
+    Drain,
+    /// Cache hosts that take no notice of ages and purges.
+    Purge,
+    /// A relay before a cache host sends every attempt twice.
+    Double,
+    /// The list hides that members have just started.
+    Cold,
+    /// A relay swallows answers.
+    Silent,
+    /// A relay holds answers until after the deadline.
+    Late,
+}
+
+impl Plant {
+    pub const WORDS: [(&'static str, Self); 6] = [
+        ("drain", Self::Drain),
+        ("purge", Self::Purge),
+        ("double", Self::Double),
+        ("cold", Self::Cold),
+        ("silent", Self::Silent),
+        ("late", Self::Late),
+    ];
+
+    pub fn word(self) -> &'static str {
+        Self::WORDS.iter().find(|(_, p)| *p == self).map_or("", |(w, _)| w)
+    }
+}
+
+/// The rig itself could not run, or was what was late: the run says nothing of the dispatchers.
+#[derive(Debug, thiserror::Error)]
+pub enum RigError {
+    #[error("dispatcher {0}: {1}")]
+    Dispatcher(usize, String),
+    #[error("the rig was {0:.0} ms late and may be {1:.0} ms: this machine cannot play the day")]
+    Late(f64, f64),
+    #[error("the rig: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Outcome {
+    pub service: Service,
+    pub rules: Vec<Rule>,
+    pub sights: Vec<Sight>,
+    pub rig_late_ms: f64,
+}
+
+fn member_ip(n: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 2, (n / 250) as u8, (n % 250 + 1) as u8))
+}
+
+/// Each member has an address of its own, so that no outgoing connection takes its port while it is down.
+fn member_address(n: usize) -> String {
+    let listener =
+        std::net::TcpListener::bind((member_ip(n), 0)).expect("a loopback address has free ports");
+    listener.local_addr().expect("it is bound").to_string()
+}
+
+const FILLS_FROM: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 3, 0, 1));
+
+/// Plays a day. `program` is the dispatcher's binary; `folder` gets settings, state and logs of each.
+pub async fn run(
+    scenario: &Scenario,
+    program: &Path,
+    folder: &Path,
+    plant: Option<Plant>,
+) -> Result<Outcome, RigError> {
+    std::fs::create_dir_all(folder)?;
+    let recorder = Recorder::default();
+    let hosts = scenario.hosts(member_address);
+    let script = Script::write(scenario, &hosts, member_address);
+    let traffic = Traffic::draw(scenario);
+    let mut options = StageOptions { fills_from: Some(FILLS_FROM), ..Default::default() };
+    for dispatcher in 0..scenario.dispatcher_count() {
+        options.dispatchers.insert(source_ip(dispatcher), dispatcher);
+    }
+    let all: Vec<HostSpec> = hosts.iter().chain(&script.newcomers).cloned().collect();
+    if plant == Some(Plant::Purge) {
+        options.deaf_to_age =
+            all.iter().filter(|h| h.role == Role::Cache).map(|h| h.address.clone()).collect();
+    }
+    for h in &all {
+        let (host, role) = (h.address.clone(), h.role);
+        recorder.saw_at(0, Saw::Member { host, role, zone: h.zone, weight: h.weight });
+    }
+    let world = stream(scenario.seed, "world");
+    let mut world = World::new(scenario.world_spec(), hosts.clone(), scenario.catalogue(), world);
+    for newcomer in &script.newcomers {
+        world.add(newcomer.clone());
+    }
+    let stage = Stage::new(world, scenario.class_models(), recorder.clone(), options);
+    stage.start().await?;
+
+    let dispatchers = scenario.dispatcher_count();
+    let mut book = Book::new(scenario.rules, &hosts, dispatchers, scenario.seed);
+    if plant == Some(Plant::Double) {
+        let to: SocketAddr = hosts[0].address.parse().map_err(std::io::Error::other)?;
+        let relay = relay::doubling(to, member_ip(5_000)).await?;
+        book.rename(0, relay.to_string());
+    }
+    let zones = scenario.zones();
+    let line = |h: &HostSpec| (h.role.word().to_owned(), zones[h.zone].clone(), h.weight);
+    let members = all.iter().enumerate().map(|(n, h)| (n, line(h))).collect::<HashMap<_, _>>();
+    let (news, heard) = mpsc::unbounded_channel();
+    let control = Control { book, stage: stage.clone(), recorder: recorder.clone(), members, plant };
+    tokio::spawn(control.run(heard));
+
+    let mut processes = Vec::new();
+    let mut targets = Vec::new();
+    for number in 0..dispatchers {
+        let mut process = Process::new(program, folder, number);
+        process.start(scenario).await?;
+        let (mut http, framed) = (process.doors.http, process.doors.framed);
+        // Half of the day passes first, so that the rest of it is as always.
+        let from = recorder.now() + scenario.length() / 3;
+        let shortest = scenario.classes.iter().map(|c| c.deadline).min().unwrap_or(0);
+        let delay = Duration::from_micros(shortest + scenario.rules.slack) + Duration::from_millis(400);
+        match plant {
+            Some(Plant::Silent) if number == 0 => {
+                http = relay::bytes(http, relay::Answers::Swallow, from, recorder.clone()).await?;
+            }
+            Some(Plant::Late) if number == 0 => {
+                http = relay::bytes(http, relay::Answers::Delay(delay), from, recorder.clone()).await?;
+            }
+            _ => {}
+        }
+        targets.push(Target { number, http, framed, pool: Default::default(), link: Default::default() });
+        processes.push(process);
+    }
+    for (number, process) in processes.iter().enumerate() {
+        tell_up(&news, number, process.doors.control).await;
+    }
+
+    let lateness = Arc::new(AtomicU64::new(0));
+    let watch = tokio::spawn(watch(lateness.clone()));
+    let began = recorder.now();
+    let clients = Arc::new(Clients { scenario: scenario.clone(), recorder: recorder.clone(), targets });
+    let load = tokio::spawn(play_traffic(clients, traffic.clone(), recorder.clone(), began));
+    let played =
+        play_script(scenario, &script, &stage, &recorder, &news, &mut processes, began, plant).await;
+    let _ = load.await;
+    watch.abort();
+    let stopped = async {
+        for process in &mut processes {
+            process.stop().await?;
+        }
+        Ok::<(), RigError>(())
+    };
+    played?;
+    stopped.await?;
+    let late = lateness.load(Ordering::Relaxed);
+    let rig_late_ms = late as f64 / 1e3;
+    if late > scenario.rules.slack {
+        return Err(RigError::Late(rig_late_ms, scenario.rules.slack as f64 / 1e3));
+    }
+    let mut sights = recorder.take();
+    // The day's own time: everything before it is at 0.
+    for sight in &mut sights {
+        sight.at = sight.at.saturating_sub(began);
+        if let Saw::Asked { deadline, .. } = &mut sight.saw {
+            *deadline = deadline.saturating_sub(began);
+        }
+    }
+    let mut effects: Vec<(String, u32)> =
+        stage.with(|w| w.effects().iter().map(|(work, n)| (work.to_string(), *n)).collect());
+    effects.sort();
+    let rules = audit::judge(scenario, &sights, &effects);
+    let service = audit::service::service(scenario, &traffic, &sights);
+    Ok(Outcome { service, rules, sights, rig_late_ms })
+}
+
+async fn tell_up(news: &mpsc::UnboundedSender<News>, dispatcher: usize, at: SocketAddr) {
+    let (done, told) = oneshot::channel();
+    let _ = news.send(News::Up { dispatcher, at, done });
+    let _ = tokio::time::timeout(Duration::from_secs(5), told).await;
+}
+
+/// The longest that a timer of the rig came late.
+async fn watch(lateness: Arc<AtomicU64>) {
+    let step = Duration::from_millis(5);
+    loop {
+        let due = tokio::time::Instant::now() + step;
+        tokio::time::sleep_until(due).await;
+        let late = due.elapsed().as_micros() as u64;
+        lateness.fetch_max(late, Ordering::Relaxed);
+    }
+}
+
+async fn sleep_to(recorder: &Recorder, began: Micros, at: Micros) {
+    let wait = (began + at).saturating_sub(recorder.now());
+    tokio::time::sleep(Duration::from_micros(wait)).await;
+}
+
+async fn play_traffic(clients: Arc<Clients>, traffic: Traffic, recorder: Recorder, began: Micros) {
+    let mut calls = JoinSet::new();
+    for (number, call) in traffic.calls.into_iter().enumerate() {
+        sleep_to(&recorder, began, call.at).await;
+        calls.spawn(clients.clone().call(number as u64, call));
+        while calls.try_join_next().is_some() {}
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+#[allow(clippy::too_many_arguments)]
+async fn play_script(
+    scenario: &Scenario,
+    script: &Script,
+    stage: &Stage,
+    recorder: &Recorder,
+    news: &mpsc::UnboundedSender<News>,
+    processes: &mut [Process],
+    began: Micros,
+    plant: Option<Plant>,
+) -> Result<(), RigError> {
+    // A fault's end is on the model's clock.
+    let shift = EPOCH + began;
+    for (at, step) in &script.steps {
+        sleep_to(recorder, began, *at).await;
+        match step {
+            Step::Say(text) => recorder.saw(Saw::Trouble { text: text.clone() }),
+            Step::Fault { host, fault } => {
+                stage.tell(In::Fault { host: *host, fault: fault.clone().later(shift) });
+            }
+            Step::List { host, listed } => {
+                let (start, started) = stage.with(|w| w.start(*host));
+                let started = started.map(|at| at - EPOCH);
+                let address = stage.address_of(*host);
+                let line = Line { host: *host, address, listed: *listed, start, started };
+                // A process that is down again by now is not announced.
+                if *listed != Listed::Ready || stage.with(|w| w.is_up(*host)) {
+                    let _ = news.send(News::Change(line));
+                }
+            }
+            Step::Purge { group } => {
+                let now = stage.now();
+                for group in purge_groups(scenario, *group) {
+                    stage.tell(In::Change { object: None, group });
+                    let _ = news.send(News::Purge { group });
+                    if plant == Some(Plant::Purge) {
+                        continue;
+                    }
+                    drop_late(scenario, stage, group, now);
+                }
+            }
+            Step::Kill { dispatcher } => {
+                recorder.saw(Saw::Killed { dispatcher: *dispatcher });
+                let _ = news.send(News::Down { dispatcher: *dispatcher });
+                processes[*dispatcher].kill().await?;
+            }
+            Step::Revive { dispatcher } => {
+                processes[*dispatcher].start(scenario).await?;
+                tell_up(news, *dispatcher, processes[*dispatcher].doors.control).await;
+                recorder.saw(Saw::Born { dispatcher: *dispatcher });
+            }
+            Step::ListDelay { more, until } => {
+                let _ = news.send(News::Delay { more: *more, until: began + until });
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Caches and parents drop their older copies by themselves, each in its own time.
+fn drop_late(scenario: &Scenario, stage: &Stage, group: u64, at: Micros) {
+    let hosts: Vec<usize> = stage.with(|w| w.hosts().map(|(id, _)| id).collect());
+    for host in hosts {
+        let spread = stream(scenario.seed, &format!("drop {group} {host} {at}"));
+        let after = spread % scenario.rules.purge_done.max(1);
+        let stage = stage.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_micros(after)).await;
+            stage.tell(In::Purge { host, object: None, group, at });
+        });
+    }
+}
--- /dev/null
+++ b/crates/lab/src/day/process.rs
@@ -0,0 +1,118 @@
+//! Dispatchers as processes of their own.
+use super::settings::{ini, Doors};
+use super::RigError;
+use crate::scenario::Scenario;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::process::{Child, Command};
+
+/// Longest wait for a process to listen, and to end after it was told to.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// The dispatcher's own local address for connections to members: how members tell who sent an attempt.
+pub fn source_ip(dispatcher: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 1, (dispatcher / 250) as u8, (dispatcher % 250 + 1) as u8))
+}
+
+/// Listeners stand on other addresses than outgoing connections, so that a port is free again at a restart.
+fn listen_ip(dispatcher: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 4, (dispatcher / 250) as u8, (dispatcher % 250 + 1) as u8))
+}
+
+#[derive(Debug)]
+pub struct Process {
+    number: usize,
+    program: PathBuf,
+    folder: PathBuf,
+    pub doors: Doors,
+    child: Option<Child>,
+}
+
+#[derive(serde::Deserialize)]
+struct Bound {
+    http: Option<SocketAddr>,
+    framed: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+    metrics: Option<SocketAddr>,
+}
+
+impl Process {
+    pub fn new(program: &Path, folder: &Path, number: usize) -> Self {
+        let any = SocketAddr::new(listen_ip(number), 0);
+        let doors = Doors { http: any, framed: any, control: any, metrics: any };
+        Self { number, program: program.into(), folder: folder.into(), doors, child: None }
+    }
+
+    fn file(&self, what: &str) -> PathBuf {
+        self.folder.join(format!("dispatcher-{}.{what}", self.number))
+    }
+
+    /// Starts it and waits until it listens.
+    pub async fn start(&mut self, scenario: &Scenario) -> Result<(), RigError> {
+        let (settings, ready) = (self.file("ini"), self.file("ready"));
+        let bind = source_ip(self.number).to_string();
+        let text = ini(scenario, self.number, &self.doors, &bind, &self.file("state"));
+        std::fs::write(&settings, text)?;
+        let _ = std::fs::remove_file(&ready);
+        let log = std::fs::File::options().create(true).append(true).open(self.file("log"))?;
+        let mut command = Command::new(&self.program);
+        command.arg("--log-json").arg("serve").arg(&settings).arg("--ready-file").arg(&ready);
+        command.arg("--seed").arg((scenario.seed ^ self.number as u64).to_string());
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
+        let mut child = command.spawn()?;
+        let wait = async {
+            loop {
+                if let Ok(bytes) = std::fs::read(&ready) {
+                    return Ok(bytes);
+                }
+                if let Some(status) = child.try_wait()? {
+                    let log = std::fs::read_to_string(self.file("log")).unwrap_or_default();
+                    let last = log.lines().last().unwrap_or_default();
+                    return Err(RigError::Dispatcher(self.number, format!("{status}: {last}")));
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let bytes = tokio::time::timeout(PATIENCE, wait)
+            .await
+            .map_err(|_| RigError::Dispatcher(self.number, "does not listen".into()))??;
+        let bound: Bound = serde_json::from_slice(&bytes).map_err(std::io::Error::other)?;
+        if let (Some(http), Some(framed), Some(control), Some(metrics)) =
+            (bound.http, bound.framed, bound.control, bound.metrics)
+        {
+            self.doors = Doors { http, framed, control, metrics };
+        }
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills it outright.
+    pub async fn kill(&mut self) -> Result<(), RigError> {
+        if let Some(mut child) = self.child.take() {
+            child.kill().await?;
+        }
+        Ok(())
+    }
+
+    /// Tells it to stop, as an operator would; its exit must be clean.
+    pub async fn stop(&mut self) -> Result<(), RigError> {
+        let Some(mut child) = self.child.take() else { return Ok(()) };
+        if let Some(pid) = child.id() {
+            let told = Command::new("kill").arg("-TERM").arg(pid.to_string()).status().await?;
+            if !told.success() {
+                return Err(RigError::Dispatcher(self.number, "cannot be told to stop".into()));
+            }
+        }
+        match tokio::time::timeout(PATIENCE, child.wait()).await {
+            Ok(Ok(status)) if status.success() => Ok(()),
+            Ok(Ok(status)) => Err(RigError::Dispatcher(self.number, format!("ended with {status}"))),
+            Ok(Err(e)) => Err(e.into()),
+            Err(_) => {
+                child.kill().await?;
+                Err(RigError::Dispatcher(self.number, "did not stop when told to".into()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/day/settings.rs
@@ -0,0 +1,89 @@
+//! The settings file of a dispatcher of the day.
+use crate::scenario::{Effect, Scenario};
+use pointspindle::Micros;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Where one listens: port 0 at first, the same ports again after a restart.
+#[derive(Clone, Copy, Debug)]
+pub struct Doors {
+    pub http: SocketAddr,
+    pub framed: SocketAddr,
+    pub control: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+fn ms(us: Micros) -> f64 {
+    us as f64 / 1e3
+}
+
+pub fn ini(s: &Scenario, dispatcher: usize, doors: &Doors, bind: &str, state: &Path) -> String {
+    let branch = s.branch_of_dispatcher(dispatcher);
+    let zones = s.zones();
+    let mut t = String::new();
+    let _ = write!(
+        t,
+        "[dispatcher]\nname = d{dispatcher}\nzone = {}\nnumber = {dispatcher}\ncount = {}\nstate_file = {}\n\
+         [listen]\nhttp = {}\nframed = {}\ncontrol = {}\nmetrics = {}\nmax_streams = 4096\n\
+         [upstream]\nbind = {bind}\n[http]\ngroup_segments = 2\n",
+        zones[branch],
+        s.dispatcher_count(),
+        state.display(),
+        doors.http,
+        doors.framed,
+        doors.control,
+        doors.metrics,
+    );
+    let yes = |b: bool| if b { "yes" } else { "no" };
+    let _ = write!(
+        t,
+        "[fleet]\nsiblings = {}\nnotes = {}\nstraight = {}\njoins = {}\nmax_attempts = {}\n\
+         stream_kb_per_s = {}\npurge_done_ms = {}\n",
+        s.siblings,
+        s.notes,
+        yes(s.straight),
+        yes(s.joins),
+        s.max_attempts,
+        s.flow / 1024.0,
+        ms(s.rules.purge_done),
+    );
+    for (name, kind) in [("cache", &s.cache), ("parent", &s.parent)] {
+        let c = kind.spec.cold;
+        let _ = write!(
+            t,
+            "[cold {name}]\nstart_share = {}\nwarm_within_ms = {}\nmultiple = {}\nwindow_ms = {}\n",
+            c.start_share,
+            ms(c.warm_within),
+            c.multiple,
+            ms(c.window),
+        );
+    }
+    for (n, zone) in zones.iter().enumerate() {
+        let count = if n < s.branches { s.dispatchers } else { 0 };
+        let _ = write!(t, "[zone {zone}]\ndispatchers = {count}\n");
+    }
+    for c in &s.classes {
+        let _ = write!(
+            t,
+            "[class {}]\ndeadline_ms = {}\naim_ms = {}\naim_stretch = {}\nworth = {}\nfresh_ms = {}\ngrace_ms = {}\n",
+            c.name,
+            ms(c.deadline),
+            ms(c.aim),
+            c.aim_stretch,
+            c.worth,
+            ms(c.fresh),
+            ms(c.grace),
+        );
+        let _ = match c.effect {
+            Effect::Safe => write!(t, "path_prefix = /{}/\n", c.name),
+            Effect::Keyed => write!(
+                t,
+                "repeat = keyed\nkey_group = all\nkey_window_ms = {}\nuncacheable = yes\n",
+                ms(s.key_window)
+            ),
+            Effect::Unsafe => write!(t, "repeat = unsafe\nuncacheable = yes\n"),
+        };
+    }
+    t
+}
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -60,6 +60,7 @@
         fresh: if n == 1 { 12_000_000 } else { 0 },
         mean: 20_000,
         uncacheable: false,
+        dedupes: false,
     };
     let classes: Vec<ClassModel> = class_names.into_iter().enumerate().map(class).collect();
     let spec = WorldSpec {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,8 +3,12 @@
 //! Nothing here is a server for service: it rehearses bad days on loopback and judges what went over the sockets.
 #![forbid(unsafe_code)]
 
+pub mod audit;
+pub mod book;
 pub mod content;
+pub mod day;
 pub mod demo;
 pub mod model;
 pub mod record;
+pub mod scenario;
 pub mod sockets;
--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -13,7 +13,7 @@
 pub mod store;
 mod world;
 
-pub use world::World;
+pub use world::{Catalogue, World};
 
 use pointspindle::Micros;
 use pointspindle_wire::{LoadReport, WireNote, WireStatus};
@@ -37,6 +37,8 @@
     /// Mean time to send an answer at full pace, microseconds: what one request counts against a cold member.
     pub mean: Micros,
     pub uncacheable: bool,
+    /// The origin discards repeats of a key for a while.
+    pub dedupes: bool,
 }
 
 /// A kind of member; ranges are drawn by the scenario before they come here.
@@ -269,3 +271,18 @@
         host: HostId,
     },
 }
+
+impl Fault {
+    /// The same fault with its end on a clock that runs ahead by `shift`.
+    pub fn later(self, shift: Micros) -> Self {
+        match self {
+            Self::Hang { until } => Self::Hang { until: until + shift },
+            Self::Lose { share, until } => Self::Lose { share, until: until + shift },
+            Self::Cut { share, until } => Self::Cut { share, until: until + shift },
+            Self::Refuse { until } => Self::Refuse { until: until + shift },
+            Self::Err { share, until } => Self::Err { share, until: until + shift },
+            Self::Slow { factor, until } => Self::Slow { factor, until: until + shift },
+            Self::Die | Self::Return => self,
+        }
+    }
+}
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -912,7 +912,8 @@
             if self.ran.len() > PURGES {
                 self.ran.retain(|_, at| *at + window > now);
             }
-            let repeat = self.ran.get(&wanted.key).is_some_and(|at| now < *at + window);
+            let dedupes = self.spec.classes.get(wanted.class).is_some_and(|c| c.dedupes);
+            let repeat = dedupes && self.ran.get(&wanted.key).is_some_and(|at| now < *at + window);
             if !repeat {
                 self.ran.insert(wanted.key.clone(), now);
                 *self.effects.entry(wanted.key.clone()).or_default() += 1;
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -71,6 +71,10 @@
     Extra {
         id: TryId,
     },
+    /// Something came from a dispatcher that belongs to no open request.
+    Stray {
+        dispatcher: usize,
+    },
     /// An attempt, or a fill, arrived at a member.
     Reached {
         host: String,
@@ -97,10 +101,16 @@
     },
     ToldPurge {
         dispatcher: usize,
-        object: Option<u64>,
         group: u64,
         version_from: u64,
     },
+    /// A member of the run, told once by the rig, so that the evidence stands alone.
+    Member {
+        host: String,
+        role: crate::model::Role,
+        zone: usize,
+        weight: f64,
+    },
     /// A member's process began; `cold`: not at the run's start.
     Started {
         host: String,
--- /dev/null
+++ b/crates/lab/src/scenario/mod.rs
@@ -0,0 +1,270 @@
+//! A day as a file: fleet, traffic, rules and a script of troubles. `docs/lab.md` describes every key.
+//!
+//! A value may be a range, `a..b`: it is drawn from the day's seed, each key by a stream of its own, so that a
+//! change of one key leaves the others as they were.
+mod read;
+pub mod script;
+pub mod traffic;
+
+pub use script::{Script, Step};
+pub use traffic::{Call, Traffic};
+
+use crate::model::cold::ColdSpec;
+use crate::model::{ClassModel, HostSpec, Role, Wanted, WorldSpec, ZoneSpec};
+use pointspindle::Micros;
+use pointspindle_config::Complaints;
+use std::path::Path;
+
+/// Whether attempts of a class may run twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct ClassDay {
+    pub name: String,
+    /// Share of first tries.
+    pub share: f64,
+    /// Size of an answer: mean in bytes, and the spread of its logarithm.
+    pub mean_bytes: f64,
+    pub sigma: f64,
+    /// Objects, parts of each, and how uneven their popularity is.
+    pub objects: u64,
+    pub parts: u64,
+    pub zipf: f64,
+    /// Share of requests for objects that are wanted once only.
+    pub once: f64,
+    /// Share of requests for objects that one branch alone wants.
+    pub local: f64,
+    pub aim: Micros,
+    pub aim_stretch: f64,
+    pub deadline: Micros,
+    pub worth: f64,
+    /// Share of the worth after the aim, and of an old copy.
+    pub late_worth: f64,
+    pub old_worth: f64,
+    pub effect: Effect,
+    pub uncacheable: bool,
+    pub fresh: Micros,
+    pub grace: Micros,
+}
+
+/// A member's kind; see [`HostSpec`].
+#[derive(Clone, Debug)]
+pub struct KindDay {
+    pub spec: HostSpec,
+    /// Weights are drawn for each member within this share of the kind's.
+    pub spread: f64,
+}
+
+/// What the rules allow.
+#[derive(Clone, Copy, Debug)]
+pub struct RulesDay {
+    pub drain_grace: Micros,
+    pub purge_grace: Micros,
+    pub purge_done: Micros,
+    /// How late purges and list changes are told, at least and at most.
+    pub purge_told: (Micros, Micros),
+    pub list_told: (Micros, Micros),
+    /// How late the rig itself may be; more and the run counts for nothing.
+    pub slack: Micros,
+}
+
+/// How clients behave.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientsDay {
+    pub retries: u32,
+    pub back_off: Micros,
+    /// Share of tries over HTTP; the others are framed.
+    pub http: f64,
+    /// Share of tries whose client leaves before its answer.
+    pub hang_up: f64,
+    /// Share of clients that wait as long as they are told.
+    pub honour: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub name: String,
+    pub about: String,
+    pub seconds: f64,
+    pub seed: u64,
+    /// First tries a second, all branches together.
+    pub rate: f64,
+    /// Not counted in the service: caches fill.
+    pub warm: Micros,
+    pub branches: usize,
+    pub caches: usize,
+    pub dispatchers: usize,
+    pub parents: usize,
+    pub hubs: usize,
+    pub groups: u64,
+    pub flow: f64,
+    pub fill_pace: f64,
+    /// Transfers that a branch's link in carries; 0: no limit.
+    pub link: f64,
+    /// One-way times: within a branch, to the own hub, for each further hub.
+    pub near: Micros,
+    pub to_hub: Micros,
+    pub hub_step: Micros,
+    pub key_window: Micros,
+    pub straight: bool,
+    pub joins: bool,
+    pub siblings: String,
+    pub notes: String,
+    pub sizes_told: bool,
+    pub max_attempts: u32,
+    pub cache: KindDay,
+    pub parent: KindDay,
+    pub origin: KindDay,
+    pub rules: RulesDay,
+    pub clients: ClientsDay,
+    pub classes: Vec<ClassDay>,
+    pub troubles: Vec<script::Trouble>,
+}
+
+/// Reads and checks a scenario; `seed` in place of the file's.
+pub fn load(path: &Path, seed: Option<u64>) -> Result<Scenario, Complaints> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Complaints::one(&name, 0, "", &format!("cannot be read: {e}")))?;
+    parse(&name, &text, seed)
+}
+
+pub fn parse(name: &str, text: &str, seed: Option<u64>) -> Result<Scenario, Complaints> {
+    read::read(name, text, seed)
+}
+
+/// A number of one's own for each use of the seed.
+pub fn stream(seed: u64, words: &str) -> u64 {
+    pointspindle::ObjectId::named(&format!("{seed}/{words}")).0
+}
+
+impl Scenario {
+    pub fn length(&self) -> Micros {
+        (self.seconds * 1e6) as Micros
+    }
+
+    /// The same day in `seconds`: the script and the waits between its steps shrink, rules and traffic do not.
+    pub fn scaled(mut self, seconds: f64) -> Self {
+        let by = seconds / self.seconds;
+        self.warm = (self.warm as f64 * by.min(1.0)) as Micros;
+        for trouble in &mut self.troubles {
+            trouble.at = (trouble.at as f64 * by) as Micros;
+            trouble.length = (trouble.length as f64 * by) as Micros;
+            trouble.down = (trouble.down as f64 * by) as Micros;
+        }
+        self.seconds = seconds;
+        self
+    }
+
+    /// Branches first, then hubs.
+    pub fn zones(&self) -> Vec<String> {
+        let branches = (0..self.branches).map(|n| format!("branch-{}", n + 1));
+        branches.chain((0..self.hubs).map(|n| format!("hub-{}", n + 1))).collect()
+    }
+
+    pub fn hub_of(&self, branch: usize) -> usize {
+        branch % self.hubs.max(1)
+    }
+
+    /// One-way time between two zones.
+    pub fn way(&self, from: usize, to: usize) -> Micros {
+        let hub = |zone: usize| if zone < self.branches { self.hub_of(zone) } else { zone - self.branches };
+        if from == to {
+            return self.near;
+        }
+        let apart = hub(from).abs_diff(hub(to));
+        let around = apart.min(self.hubs.max(1) - apart) as Micros;
+        self.to_hub + around * self.hub_step
+    }
+
+    pub fn dispatcher_count(&self) -> usize {
+        self.branches * self.dispatchers
+    }
+
+    pub fn branch_of_dispatcher(&self, dispatcher: usize) -> usize {
+        dispatcher / self.dispatchers.max(1)
+    }
+
+    pub fn class_models(&self) -> Vec<ClassModel> {
+        let model = |c: &ClassDay| ClassModel {
+            name: c.name.clone(),
+            fresh: c.fresh,
+            mean: (c.mean_bytes / self.flow * 1e6) as Micros,
+            uncacheable: c.uncacheable,
+            dedupes: c.effect == Effect::Keyed,
+        };
+        self.classes.iter().map(model).collect()
+    }
+
+    pub fn world_spec(&self) -> WorldSpec {
+        let zone = |(n, name): (usize, String)| ZoneSpec {
+            name,
+            link: if n < self.branches { self.link } else { 0.0 },
+        };
+        WorldSpec {
+            classes: self.class_models(),
+            zones: self.zones().into_iter().enumerate().map(zone).collect(),
+            flow: self.flow,
+            fill_pace: self.fill_pace,
+            key_window: self.key_window,
+        }
+    }
+
+    /// The members that run when the day begins, in the order of the world's table. `address` names the nth.
+    pub fn hosts(&self, mut address: impl FnMut(usize) -> String) -> Vec<HostSpec> {
+        use rand::{Rng, SeedableRng};
+        let mut rng = rand::rngs::StdRng::seed_from_u64(stream(self.seed, "weights"));
+        let mut hosts = Vec::new();
+        let mut add = |kind: &KindDay, zone: usize, hosts: &mut Vec<HostSpec>| {
+            let factor = 1.0 + kind.spread * (2.0 * rng.gen::<f64>() - 1.0);
+            let address = address(hosts.len());
+            let weight = kind.spec.weight * factor;
+            hosts.push(HostSpec { address, zone, weight, ..kind.spec.clone() });
+        };
+        for branch in 0..self.branches {
+            for _ in 0..self.caches {
+                add(&self.cache, branch, &mut hosts);
+            }
+        }
+        for n in 0..self.parents {
+            add(&self.parent, self.branches + n % self.hubs.max(1), &mut hosts);
+        }
+        add(&self.origin, self.branches, &mut hosts);
+        hosts
+    }
+
+    /// Bytes of an object's part: drawn by its name, so that everybody agrees.
+    pub fn catalogue(&self) -> crate::model::Catalogue {
+        let classes = self.classes.clone();
+        let seed = self.seed;
+        Box::new(move |w: &Wanted| Some(size_of(classes.get(w.class)?, seed, &w.object, w.number, w.part)))
+    }
+
+    pub fn cold(&self, role: Role) -> ColdSpec {
+        if role == Role::Parent {
+            self.parent.spec.cold
+        } else {
+            self.cache.spec.cold
+        }
+    }
+}
+
+/// The size of an object's part. A name that ends in `~N` is N times as large as it would be.
+pub fn size_of(class: &ClassDay, seed: u64, object: &str, number: u64, part: u64) -> u64 {
+    use rand::SeedableRng;
+    use rand_distr::{Distribution, LogNormal};
+    let mut rng =
+        rand::rngs::StdRng::seed_from_u64(seed ^ number.rotate_left(17) ^ part.wrapping_mul(0x9e37_79b9));
+    // The mean of a log-normal is exp(mu + sigma^2 / 2).
+    let mu = class.mean_bytes.max(1.0).ln() - class.sigma * class.sigma / 2.0;
+    let drawn = LogNormal::new(mu, class.sigma).map_or(class.mean_bytes, |d| d.sample(&mut rng));
+    let times: f64 = object.rsplit_once('~').and_then(|(_, n)| n.parse().ok()).unwrap_or(1.0);
+    // One stamped line at least; the tail is cut so that no single draw fills a store.
+    (drawn.clamp(64.0, 30.0 * class.mean_bytes) * times) as u64
+}
--- /dev/null
+++ b/crates/lab/src/scenario/read.rs
@@ -0,0 +1,249 @@
+//! Reads a scenario's file; every complaint has line, key and reason.
+use super::script::{Kind, Trouble, Whom};
+use super::*;
+use pointspindle_config::Reader;
+use rand::{Rng, SeedableRng};
+
+struct Draws {
+    reader: Reader,
+    seed: u64,
+}
+
+impl Draws {
+    /// A number within bounds, or a range of them from which one is drawn.
+    fn num(&mut self, section: &str, key: &str, default: f64, least: f64, most: f64) -> f64 {
+        let text = self.reader.text(section, key);
+        let Some((a, b)) = text.as_deref().and_then(|t| t.split_once("..")) else {
+            return self.reader.number(section, key, default, least, most);
+        };
+        let (Ok(a), Ok(b)) = (a.trim().parse::<f64>(), b.trim().parse::<f64>()) else {
+            self.reader.complain(section, key, "not a range of two numbers, such as 2..5");
+            return default;
+        };
+        if !(a <= b && a >= least && b <= most) {
+            self.reader.complain(section, key, &format!("not a range within {least} to {most}"));
+            return default;
+        }
+        let mut rng = rand::rngs::StdRng::seed_from_u64(stream(self.seed, &format!("{section}.{key}")));
+        a + (b - a) * rng.gen::<f64>()
+    }
+
+    fn ms(&mut self, section: &str, key: &str, default: f64) -> Micros {
+        (self.num(section, key, default, 0.0, 3.6e6) * 1e3).round() as Micros
+    }
+
+    fn s(&mut self, section: &str, key: &str, default: f64) -> Micros {
+        (self.num(section, key, default, 0.0, 86_400.0) * 1e6).round() as Micros
+    }
+
+    fn count(&mut self, section: &str, key: &str, default: usize, least: usize) -> usize {
+        self.num(section, key, default as f64, least as f64, 1e6).floor() as usize
+    }
+
+    fn share(&mut self, section: &str, key: &str, default: f64) -> f64 {
+        self.num(section, key, default, 0.0, 1.0)
+    }
+}
+
+pub fn read(name: &str, text: &str, seed: Option<u64>) -> Result<Scenario, Complaints> {
+    let mut reader = Reader::new(name, text)?;
+    let told = reader.number("day", "seed", 1, 0, u64::MAX);
+    let seed = seed.unwrap_or(told);
+    let mut d = Draws { reader, seed };
+    let about = d.reader.text("day", "about").unwrap_or_default();
+    if about.is_empty() {
+        d.reader.complain("day", "about", "missing: one line on what is rehearsed");
+    }
+    let seconds = d.num("day", "seconds", 45.0, 2.0, 3_600.0);
+    let rate = d.num("day", "rate", 90.0, 0.1, 1e6);
+    let warm = d.s("day", "warm_s", 3.0);
+    let scenario = Scenario {
+        name: Path::new(name).file_stem().map_or(name.to_owned(), |s| s.to_string_lossy().into_owned()),
+        about,
+        seconds,
+        seed,
+        rate,
+        warm,
+        branches: d.count("fleet", "branches", 3, 1),
+        caches: d.count("fleet", "caches", 3, 1),
+        dispatchers: d.count("fleet", "dispatchers", 1, 1),
+        parents: d.count("fleet", "parents", 2, 0),
+        hubs: d.count("fleet", "hubs", 2, 1),
+        groups: d.count("fleet", "groups", 12, 1) as u64,
+        flow: d.num("fleet", "flow_kb_per_s", 1_000.0, 1.0, 1e9) * 1024.0,
+        fill_pace: d.num("fleet", "fill_pace", 3.0, 0.1, 100.0),
+        link: d.num("fleet", "link", 12.0, 0.0, 1e9),
+        near: d.ms("fleet", "near_ms", 0.2),
+        to_hub: d.ms("fleet", "to_hub_ms", 6.0),
+        hub_step: d.ms("fleet", "hub_step_ms", 25.0),
+        key_window: d.ms("fleet", "key_window_ms", 2_000.0),
+        straight: d.reader.flag("fleet", "straight", true),
+        joins: d.reader.flag("fleet", "joins", true),
+        siblings: word(&mut d, "siblings", "zone", &["none", "zone", "any"]),
+        notes: word(&mut d, "notes", "all", &["all", "hit", "none"]),
+        sizes_told: d.reader.flag("fleet", "sizes_told", true),
+        max_attempts: d.count("fleet", "max_attempts", 6, 1) as u32,
+        cache: kind(&mut d, "cache", Role::Cache, 8.0),
+        parent: kind(&mut d, "parent", Role::Parent, 24.0),
+        origin: kind(&mut d, "origin", Role::Origin, 32.0),
+        rules: rules(&mut d),
+        clients: ClientsDay {
+            retries: d.count("clients", "retries", 2, 0) as u32,
+            back_off: d.ms("clients", "back_off_ms", 100.0),
+            http: d.share("clients", "http", 0.3),
+            hang_up: d.share("clients", "hang_up", 0.01),
+            honour: d.share("clients", "honour", 0.8),
+        },
+        classes: classes(&mut d),
+        troubles: Vec::new(),
+    };
+    let troubles = troubles(&mut d, &scenario);
+    d.reader.finish()?;
+    Ok(Scenario { troubles, ..scenario })
+}
+
+fn word(d: &mut Draws, key: &str, default: &str, words: &[&str]) -> String {
+    let pairs: Vec<(&str, &str)> = words.iter().map(|w| (*w, *w)).collect();
+    let default = words.iter().find(|w| **w == default).copied().unwrap_or_default();
+    d.reader.choice("fleet", key, default, &pairs).to_owned()
+}
+
+fn rules(d: &mut Draws) -> RulesDay {
+    let mut span = |key: &str, least: f64, most: f64| {
+        let a = d.num("rules", &format!("{key}_least_ms"), least, 0.0, 6e5);
+        let b = d.num("rules", &format!("{key}_most_ms"), most, 0.0, 6e5);
+        if b < a {
+            d.reader.complain("rules", &format!("{key}_most_ms"), "less than the least");
+        }
+        ((a * 1e3) as Micros, (b.max(a) * 1e3) as Micros)
+    };
+    let (purge_told, list_told) = (span("purge_told", 64.0, 340.0), span("list_told", 300.0, 1_200.0));
+    RulesDay {
+        drain_grace: d.ms("rules", "drain_grace_ms", 1_000.0),
+        purge_grace: d.ms("rules", "purge_grace_ms", 500.0),
+        purge_done: d.ms("rules", "purge_done_ms", 6_000.0),
+        purge_told,
+        list_told,
+        slack: d.ms("rules", "slack_ms", 150.0),
+    }
+}
+
+fn kind(d: &mut Draws, section: &str, role: Role, weight: f64) -> KindDay {
+    let cold_section = format!("cold {section}");
+    let cold = if role == Role::Origin {
+        ColdSpec { start_share: 1.0, warm_within: 0, multiple: 1e9, window: 1_000_000 }
+    } else {
+        ColdSpec {
+            start_share: d.share(&cold_section, "start_share", 0.2),
+            warm_within: d.ms(&cold_section, "warm_within_ms", 15_000.0),
+            multiple: d.num(&cold_section, "multiple", 2.0, 0.1, 1e6),
+            window: d.ms(&cold_section, "window_ms", 2_000.0).max(1_000),
+        }
+    };
+    let spec = HostSpec {
+        address: String::new(),
+        role,
+        zone: 0,
+        weight: d.num(section, "weight", weight, 0.01, 1e6),
+        places: d.count(section, "places", 64, 1),
+        queue: d.count(section, "queue", 128, 0),
+        thrash: d.num(section, "thrash", 0.02, 0.0, 10.0),
+        store_bytes: (d.num(section, "store_mb", 24.0, 0.0, 1e7) * 1024.0 * 1024.0) as u64,
+        fill_places: d.count(section, "fill_places", 32, 1),
+        fill_timeout: d.ms(section, "fill_timeout_ms", 2_000.0),
+        fill_retries: d.count(section, "fill_retries", 1, 0) as u32,
+        abort_fill: d.reader.flag(section, "abort_fill", false),
+        cold,
+        think: if role == Role::Origin { d.ms(section, "think_ms", 30.0) } else { 0 },
+        report_every: d.ms(section, "report_ms", 400.0),
+        pause_every: d.ms(section, "pause_every_ms", 0.0),
+        pause: d.ms(section, "pause_ms", 0.0),
+        fall_multiple: if role == Role::Origin {
+            d.num(section, "fall_multiple", 0.0, 0.0, 1e6)
+        } else {
+            0.0
+        },
+        fall_window: if role == Role::Origin { d.ms(section, "fall_window_ms", 3_000.0) } else { 1 },
+        fall_down: if role == Role::Origin { d.ms(section, "fall_down_ms", 5_000.0) } else { 0 },
+    };
+    KindDay { spec, spread: d.share(section, "spread", 0.0) }
+}
+
+fn classes(d: &mut Draws) -> Vec<ClassDay> {
+    let mut classes = Vec::new();
+    for name in d.reader.named("class") {
+        let s = format!("class {name}");
+        let effects = [("safe", Effect::Safe), ("keyed", Effect::Keyed), ("unsafe", Effect::Unsafe)];
+        let effect = d.reader.choice(&s, "effect", Effect::Safe, &effects);
+        let class = ClassDay {
+            share: d.share(&s, "share", 0.5),
+            mean_bytes: d.num(&s, "mean_kb", 100.0, 0.1, 1e7) * 1024.0,
+            sigma: d.num(&s, "sigma", 0.8, 0.0, 3.0),
+            objects: d.count(&s, "objects", 400, 1) as u64,
+            parts: d.count(&s, "parts", 1, 1) as u64,
+            zipf: d.num(&s, "zipf", 1.0, 0.01, 5.0),
+            once: d.share(&s, "once", 0.02),
+            local: d.share(&s, "local", 0.1),
+            aim: d.ms(&s, "aim_ms", 300.0),
+            aim_stretch: d.num(&s, "aim_stretch", 2.0, 0.0, 100.0),
+            deadline: d.ms(&s, "deadline_ms", 2_500.0).max(50_000),
+            worth: d.num(&s, "worth", 1.0, 0.0, 1e6),
+            late_worth: d.share(&s, "late_worth", 0.15),
+            old_worth: d.share(&s, "old_worth", 0.7),
+            effect,
+            uncacheable: effect != Effect::Safe,
+            fresh: d.ms(&s, "fresh_ms", 0.0),
+            grace: d.ms(&s, "grace_ms", 0.0),
+            name,
+        };
+        classes.push(class);
+    }
+    if classes.is_empty() {
+        d.reader.complain("class NAME", "", "no class: nobody asks for anything");
+    }
+    classes
+}
+
+fn troubles(d: &mut Draws, scenario: &Scenario) -> Vec<Trouble> {
+    let mut troubles = Vec::new();
+    for name in d.reader.named("trouble") {
+        let s = format!("trouble {name}");
+        let Some(kind) = d.reader.text(&s, "kind").and_then(|k| Kind::of(&k)) else {
+            let words: Vec<&str> = Kind::WORDS.iter().map(|(w, _)| *w).collect();
+            d.reader.complain(&s, "kind", &format!("missing or none of {}", words.join(", ")));
+            continue;
+        };
+        let zone = d.reader.text(&s, "zone").filter(|z| !z.is_empty());
+        let zones = scenario.zones();
+        let zone = zone.and_then(|z| {
+            let found = zones.iter().position(|known| *known == z);
+            if found.is_none() {
+                d.reader.complain(&s, "zone", &format!("{z:?} is none of {}", zones.join(", ")));
+            }
+            found
+        });
+        let role = d.reader.choice(&s, "role", kind.usual_role(), &Role::WORDS);
+        let number = d.reader.text(&s, "number").and_then(|t| match t.parse::<usize>() {
+            Ok(n) => Some(n),
+            Err(_) => {
+                d.reader.complain(&s, "number", "not a whole number");
+                None
+            }
+        });
+        let whom = Whom { share: d.share(&s, "share", 0.3), zone, role, number };
+        let at = d.s(&s, "at_s", 5.0);
+        if at >= scenario.length() {
+            d.reader.complain(&s, "at_s", "after the end of the day");
+        }
+        troubles.push(Trouble {
+            at,
+            length: d.s(&s, "for_s", 8.0),
+            down: d.s(&s, "down_s", 2.0),
+            hard: d.num(&s, "hard", kind.usual_hard(), 0.0, 1e6),
+            whom,
+            kind,
+            name,
+        });
+    }
+    troubles
+}
--- /dev/null
+++ b/crates/lab/src/scenario/script.rs
@@ -0,0 +1,338 @@
+//! Troubles as steps in time: what happens to which member or dispatcher when, and what the list says of it.
+use super::traffic::group_number;
+use super::{stream, Scenario};
+use crate::model::{Fault, HostId, HostSpec, Role};
+use pointspindle::Micros;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+/// A kind of trouble, by its word in files.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Deploy,
+    Crash,
+    HubRestart,
+    ZoneLoss,
+    Hang,
+    Lose,
+    Cut,
+    Refuse,
+    Errors,
+    Slow,
+    Ageing,
+    Purge,
+    KillDispatchers,
+    LateLists,
+    Hot,
+    Oversized,
+    OneOff,
+}
+
+impl Kind {
+    pub const WORDS: [(&'static str, Self); 17] = [
+        ("deploy", Self::Deploy),
+        ("crash", Self::Crash),
+        ("hub_restart", Self::HubRestart),
+        ("zone_loss", Self::ZoneLoss),
+        ("hang", Self::Hang),
+        ("lose_answers", Self::Lose),
+        ("cut_answers", Self::Cut),
+        ("refuse", Self::Refuse),
+        ("errors", Self::Errors),
+        ("slow", Self::Slow),
+        ("ageing", Self::Ageing),
+        ("purge", Self::Purge),
+        ("kill_dispatchers", Self::KillDispatchers),
+        ("late_lists", Self::LateLists),
+        ("hot", Self::Hot),
+        ("oversized", Self::Oversized),
+        ("one_off", Self::OneOff),
+    ];
+
+    pub fn of(word: &str) -> Option<Self> {
+        Self::WORDS.iter().find(|(w, _)| *w == word).map(|(_, k)| *k)
+    }
+
+    pub fn word(self) -> &'static str {
+        Self::WORDS.iter().find(|(_, k)| *k == self).map_or("", |(w, _)| w)
+    }
+
+    pub fn usual_role(self) -> Role {
+        Role::Cache
+    }
+
+    /// What `hard` means and usually is: a share of answers, a factor, seconds of draining, of delay.
+    pub fn usual_hard(self) -> f64 {
+        match self {
+            Self::Deploy => 2.0,
+            Self::Lose | Self::Cut => 0.2,
+            Self::Errors => 0.7,
+            Self::Slow | Self::Ageing => 4.0,
+            Self::LateLists => 3.0,
+            Self::Oversized => 10.0,
+            _ => 1.0,
+        }
+    }
+}
+
+/// Whom a trouble strikes.
+#[derive(Clone, Copy, Debug)]
+pub struct Whom {
+    /// Share of the members that fit (of the groups for a purge, of dispatchers for a kill, of requests for
+    /// troubles in the traffic).
+    pub share: f64,
+    pub zone: Option<usize>,
+    pub role: Role,
+    /// One alone: its place among those that fit.
+    pub number: Option<usize>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    pub name: String,
+    pub kind: Kind,
+    pub at: Micros,
+    pub length: Micros,
+    /// How long a process stays away.
+    pub down: Micros,
+    pub hard: f64,
+    pub whom: Whom,
+}
+
+/// A member's state on the true list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One step of the script.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    Fault {
+        host: HostId,
+        fault: Fault,
+    },
+    /// The list's source learns it now; dispatchers are told later.
+    List {
+        host: HostId,
+        listed: Listed,
+    },
+    /// Of the groups of this number, in all classes.
+    Purge {
+        group: u64,
+    },
+    Kill {
+        dispatcher: usize,
+    },
+    Revive {
+        dispatcher: usize,
+    },
+    /// List changes are told so much later until then.
+    ListDelay {
+        more: Micros,
+        until: Micros,
+    },
+    Say(String),
+}
+
+/// The whole script.
+#[derive(Clone, Debug)]
+pub struct Script {
+    pub steps: Vec<(Micros, Step)>,
+    /// Members that come later, in the order of their numbers.
+    pub newcomers: Vec<HostSpec>,
+}
+
+/// Processes of a mass restart begin within this.
+const TOGETHER: Micros = 400_000;
+
+struct Writer<'a> {
+    scenario: &'a Scenario,
+    hosts: &'a [HostSpec],
+    steps: Vec<(Micros, Step)>,
+    newcomers: Vec<HostSpec>,
+    replaced: Vec<HostId>,
+    rng: StdRng,
+}
+
+impl Script {
+    /// Writes the day's troubles out for these members. `address` names a newcomer by its number.
+    pub fn write(
+        scenario: &Scenario,
+        hosts: &[HostSpec],
+        mut address: impl FnMut(usize) -> String,
+    ) -> Self {
+        let (steps, newcomers, replaced) = (Vec::new(), Vec::new(), Vec::new());
+        let rng = StdRng::seed_from_u64(0);
+        let mut w = Writer { scenario, hosts, steps, newcomers, replaced, rng };
+        for trouble in &scenario.troubles {
+            // Each trouble draws from its own stream: one more leaves the others as they were.
+            let words = format!("trouble {}", trouble.name);
+            w.rng = StdRng::seed_from_u64(stream(scenario.seed, &words));
+            w.trouble(trouble, &mut address);
+        }
+        w.steps.sort_by_key(|(at, _)| *at);
+        Self { steps: w.steps, newcomers: w.newcomers }
+    }
+}
+
+impl Writer<'_> {
+    fn step(&mut self, at: Micros, step: Step) {
+        self.steps.push((at, step));
+    }
+
+    /// Members that run from the start, fit, and were not replaced by an earlier deploy.
+    fn fitting(&self, whom: &Whom) -> Vec<HostId> {
+        let fits = |(id, h): &(HostId, &HostSpec)| {
+            h.role == whom.role && whom.zone.is_none_or(|z| z == h.zone) && !self.replaced.contains(id)
+        };
+        self.hosts.iter().enumerate().filter(fits).map(|(id, _)| id).collect()
+    }
+
+    fn struck(&mut self, whom: &Whom) -> Vec<HostId> {
+        let mut all = self.fitting(whom);
+        if let Some(number) = whom.number {
+            return all.get(number).copied().into_iter().collect();
+        }
+        all.shuffle(&mut self.rng);
+        let count = (whom.share * all.len() as f64).round().max(1.0) as usize;
+        all.truncate(count);
+        all.sort_unstable();
+        all
+    }
+
+    /// A process ends and another one begins at the same address, cold and empty.
+    fn restart(&mut self, host: HostId, at: Micros, back: Micros) {
+        self.step(at, Step::Fault { host, fault: Fault::Die });
+        self.step(at, Step::List { host, listed: Listed::Gone });
+        self.step(back, Step::Fault { host, fault: Fault::Return });
+        self.step(back, Step::List { host, listed: Listed::Ready });
+    }
+
+    fn trouble(&mut self, t: &Trouble, address: &mut impl FnMut(usize) -> String) {
+        let (at, until) = (t.at, t.at + t.length);
+        let fault = match t.kind {
+            Kind::Hang => Some(Fault::Hang { until }),
+            Kind::Lose => Some(Fault::Lose { share: t.hard, until }),
+            Kind::Cut => Some(Fault::Cut { share: t.hard, until }),
+            Kind::Refuse => Some(Fault::Refuse { until }),
+            Kind::Errors => Some(Fault::Err { share: t.hard, until }),
+            Kind::Slow => Some(Fault::Slow { factor: t.hard, until }),
+            _ => None,
+        };
+        let struck = match t.kind {
+            Kind::Purge | Kind::KillDispatchers | Kind::LateLists => vec![],
+            Kind::Hot | Kind::Oversized | Kind::OneOff | Kind::HubRestart | Kind::ZoneLoss => vec![],
+            _ => self.struck(&t.whom),
+        };
+        let said = format!("{} ({}): {} members", t.name, t.kind.word(), struck.len());
+        self.step(at, Step::Say(said));
+        if let Some(fault) = fault {
+            for host in struck {
+                self.step(at, Step::Fault { host, fault: fault.clone() });
+            }
+            return;
+        }
+        match t.kind {
+            Kind::Crash => {
+                for host in struck {
+                    self.restart(host, at, until);
+                }
+            }
+            Kind::Deploy => self.deploy(t, struck, address),
+            Kind::HubRestart => {
+                let hub =
+                    t.whom.zone.filter(|z| *z >= self.scenario.branches).unwrap_or(self.scenario.branches);
+                for host in 0..self.hosts.len() {
+                    let zone = self.hosts[host].zone;
+                    let branch = zone < self.scenario.branches;
+                    let mine = branch && self.scenario.hub_of(zone) == hub - self.scenario.branches;
+                    let fits = match t.whom.role {
+                        Role::Parent => zone == hub && self.hosts[host].role == Role::Parent,
+                        _ => mine,
+                    };
+                    if fits && !self.replaced.contains(&host) {
+                        let jitter = self.rng.gen_range(0..TOGETHER);
+                        self.restart(host, at + jitter, at + t.down + jitter);
+                    }
+                }
+            }
+            Kind::ZoneLoss => {
+                let zone = t.whom.zone.unwrap_or(0);
+                for host in 0..self.hosts.len() {
+                    let fits = self.hosts[host].zone == zone && self.hosts[host].role != Role::Origin;
+                    if fits && !self.replaced.contains(&host) {
+                        self.restart(host, at, until);
+                    }
+                }
+            }
+            Kind::Ageing => {
+                // Slower in steps, then dead, then back.
+                for host in struck {
+                    for n in 1..=4_u64 {
+                        let factor = 1.0 + (t.hard - 1.0) * n as f64 / 4.0;
+                        let fault = Fault::Slow { factor, until };
+                        self.step(at + t.length * (n - 1) / 4, Step::Fault { host, fault });
+                    }
+                    self.restart(host, until, until + t.down);
+                }
+            }
+            Kind::Purge => {
+                let mut groups: Vec<u64> = (0..self.scenario.groups).collect();
+                groups.shuffle(&mut self.rng);
+                groups.truncate((t.whom.share * groups.len() as f64).round().max(1.0) as usize);
+                for group in groups {
+                    self.step(at, Step::Purge { group });
+                }
+            }
+            Kind::KillDispatchers => {
+                let mut all: Vec<usize> = (0..self.scenario.dispatcher_count()).collect();
+                match t.whom.number {
+                    Some(number) => all.retain(|d| *d == number),
+                    None => {
+                        all.shuffle(&mut self.rng);
+                        all.truncate((t.whom.share * all.len() as f64).round().max(1.0) as usize);
+                    }
+                }
+                let gap = t.length / all.len().max(1) as Micros;
+                for (n, dispatcher) in all.into_iter().enumerate() {
+                    let at = at + gap * n as Micros;
+                    self.step(at, Step::Kill { dispatcher });
+                    self.step(at + t.down, Step::Revive { dispatcher });
+                }
+            }
+            Kind::LateLists => {
+                let more = (t.hard * 1e6) as Micros;
+                self.step(at, Step::ListDelay { more, until });
+            }
+            _ => {}
+        }
+    }
+
+    /// In waves: a drain notice, the end of the process after `hard` seconds, a cold successor under another
+    /// address.
+    fn deploy(&mut self, t: &Trouble, struck: Vec<HostId>, address: &mut impl FnMut(usize) -> String) {
+        let drain = (t.hard * 1e6) as Micros;
+        let count = struck.len().max(1) as Micros;
+        for (n, host) in struck.into_iter().enumerate() {
+            let at = t.at + t.length * n as Micros / count;
+            self.replaced.push(host);
+            self.step(at, Step::List { host, listed: Listed::Draining });
+            self.step(at + drain, Step::Fault { host, fault: Fault::Die });
+            self.step(at + drain, Step::List { host, listed: Listed::Gone });
+            let successor = self.hosts.len() + self.newcomers.len();
+            let spec = HostSpec { address: address(successor), ..self.hosts[host].clone() };
+            self.newcomers.push(spec);
+            self.step(at + drain, Step::Fault { host: successor, fault: Fault::Return });
+            self.step(at + drain, Step::List { host: successor, listed: Listed::Ready });
+        }
+    }
+}
+
+/// The purge groups that one step strikes, a class each.
+pub fn purge_groups(scenario: &Scenario, group: u64) -> Vec<u64> {
+    scenario.classes.iter().filter(|c| !c.uncacheable).map(|c| group_number(&c.name, group)).collect()
+}
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -4,4 +4,4 @@
 mod stage;
 mod words;
 
-pub use stage::{Stage, StageOptions};
+pub use stage::{Stage, StageOptions, EPOCH};
--- a/crates/link/src/tasks.rs
+++ b/crates/link/src/tasks.rs
@@ -218,6 +218,11 @@
         table.closed.is_none() && !table.going_away
     }
 
+    /// Why it closed, once it has.
+    pub fn why_closed(&self) -> String {
+        self.shared.why_closed()
+    }
+
     pub fn open_streams(&self) -> usize {
         self.shared.table().entries.len()
     }
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -5,7 +5,7 @@
 //! connection's credit comes back as bytes arrive in their streams' buffers, so that it stops nobody else. What
 //! a connection can hold is therefore the number of streams times [`STREAM_WINDOW`].
 use crate::frame::Frame;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Bytes of body that may be under way, unread, on one stream.
 pub const STREAM_WINDOW: u32 = 256 * 1024;
@@ -14,6 +14,9 @@
 /// Streams that may be open at once on a connection, unless a listener says less.
 pub const MAX_STREAMS: usize = 1024;
 
+/// Cancelled streams remembered.
+const CANCELLED_KEPT: usize = 4096;
+
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub enum StreamError {
     #[error("stream {0} was used before; numbers only grow")]
@@ -26,6 +29,8 @@
     OverConnectionCredit(u64),
     #[error("frame on stream {0} out of order: {1}")]
     OutOfOrder(u32, &'static str),
+    #[error("stream {0} was answered before; this comes after its end")]
+    AfterEnd(u32),
     #[error("a frame that only the other side may send: {0}")]
     WrongSide(&'static str),
     #[error("credit on stream {0} grows past what a window can be")]
@@ -80,11 +85,16 @@
     open: BTreeMap<u32, Stream>,
     highest: u32,
     credit: u32,
+    /// Streams that we cancelled and whose peer may not know yet; the oldest are dropped beyond a number.
+    cancelled: BTreeSet<u32>,
+    /// Up to here nothing is known of closed streams.
+    dim: u32,
 }
 
 impl Streams {
     pub fn new(side: Side, most: usize) -> Self {
-        Self { side, most, open: BTreeMap::new(), highest: 0, credit: CONNECTION_WINDOW }
+        let (open, cancelled) = (BTreeMap::new(), BTreeSet::new());
+        Self { side, most, open, highest: 0, credit: CONNECTION_WINDOW, cancelled, dim: 0 }
     }
 
     pub fn open_count(&self) -> usize {
@@ -104,7 +114,12 @@
 
     /// The owner is done with a stream (answered it, or cancelled it): what still comes is ignored.
     pub fn close(&mut self, id: u32) {
-        self.open.remove(&id);
+        if self.open.remove(&id).is_some() && self.side == Side::Caller {
+            self.cancelled.insert(id);
+            if self.cancelled.len() > CANCELLED_KEPT {
+                self.dim = self.cancelled.pop_first().unwrap_or(0);
+            }
+        }
     }
 
     /// The owner has taken bytes of a stream and gives their credit back; false if the stream is closed.
@@ -199,8 +214,11 @@
         if id > self.highest {
             return Err(StreamError::OutOfOrder(id, "an answer to nothing that was asked"));
         }
-        // Closed here by a cancel: the answer may have been under way.
-        let Some(stream) = self.open.get_mut(&id) else { return Ok(Received::Ignored { body: 0 }) };
+        let Some(stream) = self.open.get_mut(&id) else {
+            // Closed here by a cancel: the answer may have been under way. Else it had its end.
+            let known = self.cancelled.contains(&id) || id <= self.dim;
+            return if known { Ok(Received::Ignored { body: 0 }) } else { Err(StreamError::AfterEnd(id)) };
+        };
         let closed = step(stream).map_err(|why| StreamError::OutOfOrder(id, why))?;
         if closed {
             self.open.remove(&id);
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -90,7 +90,7 @@
     here.close(5);
     assert!(here.receive(Frame::Request(8, request("a"))).is_ok(), "an answered stream makes room");
 
-    let mut caller = Streams::new(Side::Caller, 2);
+    let mut caller = Streams::new(Side::Caller, 3);
     let id = caller.call().unwrap();
     let data = |n: usize| Frame::Data(id, Bytes::from(vec![0; n]));
     assert_eq!(caller.receive(data(1)), Err(StreamError::OutOfOrder(id, "data before the head")));
@@ -98,6 +98,15 @@
     caller.receive(data(10)).unwrap();
     let short = Frame::End(id, EndHead { bytes: 11, load: None });
     assert!(caller.receive(short).is_err(), "a silently short answer");
+    let done = caller.call().unwrap();
+    caller.receive(Frame::Head(done, AnswerHead::default())).unwrap();
+    caller.receive(Frame::End(done, EndHead::default())).unwrap();
+    let twice = caller.receive(Frame::End(done, EndHead::default()));
+    assert_eq!(twice, Err(StreamError::AfterEnd(done)), "a second end");
+    let left = caller.call().unwrap();
+    caller.close(left);
+    let late = caller.receive(Frame::Head(left, AnswerHead::default()));
+    assert_eq!(late, Ok(Received::Ignored { body: 0 }), "an answer that crossed our cancel");
     let stray = Frame::Head(99, AnswerHead::default());
     assert!(matches!(caller.receive(stray), Err(StreamError::OutOfOrder(99, _))));
 }
