--- a/crates/edge/src/net/door_framed.rs
+++ b/crates/edge/src/net/door_framed.rs
@@ -60,6 +60,8 @@
         while requests.join_next().await.is_some() {}
     }
     link.close("the connection is done with");
+    // The last answers are on their way when they are written, not when they are queued.
+    link.written().await;
 }
 
 async fn answer(door: Door, mut head: RequestHead, responder: Responder) {
--- a/crates/edge/src/net/door_http.rs
+++ b/crates/edge/src/net/door_http.rs
@@ -42,21 +42,20 @@
         let request = match client.next.take() {
             Some(request) => request,
             None => {
-                let waiting = client.requests.read_buffer().is_empty();
-                let longest = if waiting { idle } else { head };
-                let next = tokio::select! {
-                    next = tokio::time::timeout(longest, client.requests.next()) => next,
-                    _ = door.stopped(), if waiting => return,
-                };
-                match next {
+                if client.requests.read_buffer().is_empty() {
+                    let came = tokio::select! {
+                        came = tokio::time::timeout(idle, client.requests.get_ref().readable()) => came,
+                        _ = door.stopped() => return,
+                    };
+                    if !matches!(came, Ok(Ok(()))) {
+                        return;
+                    }
+                }
+                // From its first byte on a head has so long to be complete.
+                match tokio::time::timeout(head, client.requests.next()).await {
                     Ok(Some(request)) => request,
                     Ok(None) => return,
-                    // Bytes of a head that is still not complete get an answer; silence gets none.
-                    Err(_) if client.requests.read_buffer().is_empty() => return,
-                    Err(_) if waiting => match tokio::time::timeout(head, client.requests.next()).await {
-                        Ok(Some(request)) => request,
-                        _ => return client.complain(408, "the head did not come in time").await,
-                    },
+                    Err(_) if client.requests.read_buffer().is_empty() => continue,
                     Err(_) => return client.complain(408, "the head did not come in time").await,
                 }
             }
@@ -180,7 +179,7 @@
                 Some(Err(e)) if e.status() == 0 => self.gone = true,
                 Some(request) => {
                     self.next = Some(request);
-                    return std::future::pending().await;
+                    std::future::pending().await
                 }
                 None => self.gone = true,
             }
--- a/crates/edge/src/net/mod.rs
+++ b/crates/edge/src/net/mod.rs
@@ -42,7 +42,8 @@
     hub: Arc<Hub>,
     bound: Bound,
     stop: watch::Sender<bool>,
-    tasks: JoinSet<()>,
+    doors: JoinSet<()>,
+    helpers: JoinSet<()>,
 }
 
 impl Dispatcher {
@@ -53,7 +54,7 @@
         if !saver::restore(&hub).await && !settings.members.is_empty() {
             hub.members(static_list(&settings));
         }
-        let mut tasks = JoinSet::new();
+        let (mut doors, mut helpers) = (JoinSet::new(), JoinSet::new());
         let (stop, stopping) = watch::channel(false);
         let mut bound = Bound::default();
         let l = &settings.listen;
@@ -61,29 +62,29 @@
         let places = Arc::new(Semaphore::new(l.max_connections));
         if let Some(listener) = listen("http", l.http, &mut bound.http).await? {
             let door = Door { hub: hub.clone(), places: places.clone(), stopping: stopping.clone() };
-            tasks.spawn(accept(listener, door, door_http::serve));
+            doors.spawn(accept(listener, door, door_http::serve));
         }
         if let Some(listener) = listen("framed", l.framed, &mut bound.framed).await? {
             let door = Door { hub: hub.clone(), places, stopping: stopping.clone() };
-            tasks.spawn(accept(listener, door, door_framed::serve));
+            doors.spawn(accept(listener, door, door_framed::serve));
         }
         // Operators get places of their own: a full door must not lock them out.
         let operators = || Arc::new(Semaphore::new(64));
         if let Some(listener) = listen("control", l.control, &mut bound.control).await? {
             let door = Door { hub: hub.clone(), places: operators(), stopping: stopping.clone() };
-            tasks.spawn(accept(listener, door, control::serve));
+            doors.spawn(accept(listener, door, control::serve));
         }
         if let Some(listener) = listen("metrics", l.metrics, &mut bound.metrics).await? {
             let door = Door { hub: hub.clone(), places: operators(), stopping: stopping.clone() };
-            tasks.spawn(accept(listener, door, metrics::serve));
+            doors.spawn(accept(listener, door, metrics::serve));
         }
-        tasks.spawn(hub::run_timers(hub.clone()));
-        tasks.spawn(upstream::sweep(hub.clone()));
+        helpers.spawn(hub::run_timers(hub.clone()));
+        helpers.spawn(upstream::sweep(hub.clone()));
         if settings.state_file.is_some() {
-            tasks.spawn(saver::run(hub.clone()));
+            helpers.spawn(saver::run(hub.clone()));
         }
         tracing::info!(name = %settings.name, ?bound, "dispatcher listens");
-        Ok(Self { hub, bound, stop, tasks })
+        Ok(Self { hub, bound, stop, doors, helpers })
     }
 
     pub fn bound(&self) -> &Bound {
@@ -94,10 +95,16 @@
     pub async fn stop(mut self) -> bool {
         let _ = self.stop.send(true);
         let longest = Duration::from_micros(self.hub.settings.listen.drain_us);
-        let drained = tokio::time::timeout(longest, self.hub.drained()).await.is_ok();
+        // A door ends with its last connection, and that with its last answer written.
+        let drained = async {
+            self.hub.drained().await;
+            while self.doors.join_next().await.is_some() {}
+        };
+        let drained = tokio::time::timeout(longest, drained).await.is_ok();
         tracing::info!(drained, left = self.hub.open_requests(), "dispatcher stops");
         saver::save_now(&self.hub).await;
-        self.tasks.shutdown().await;
+        self.doors.shutdown().await;
+        self.helpers.shutdown().await;
         drained
     }
 }
--- /dev/null
+++ b/crates/edge/tests/core.rs
@@ -0,0 +1,287 @@
+//! The core without sockets: what must hold whatever the moment.
+use pointspindle_config::parse;
+use pointspindle_edge::core::{AttemptEnd, FetchOrder};
+use pointspindle_edge::{Ask, Core, Input, Output};
+use pointspindle_wire::*;
+
+const MS: u64 = 1_000;
+const T0: u64 = 1_000_000_000;
+
+const SETTINGS: &str = "
+[dispatcher]
+zone = branch
+number = 0
+answer_slack_ms = 20
+[listen]
+http = 127.0.0.1:0
+[zone hub]
+[zone branch]
+dispatchers = 1
+[class video]
+path_prefix = /video/
+deadline_ms = 2000
+[class submit]
+deadline_ms = 2000
+repeat = unsafe
+uncacheable = yes
+";
+
+struct Stage {
+    core: Core,
+    now: u64,
+}
+
+fn line(address: &str, kind: &str, state: WireState) -> MemberLine {
+    let zone = if kind == "cache" { "branch" } else { "hub" };
+    MemberLine {
+        address: address.into(),
+        state: state as i32,
+        weight: 8.0,
+        zone: zone.into(),
+        kind: kind.into(),
+        ..Default::default()
+    }
+}
+
+fn fleet() -> Vec<MemberLine> {
+    let ready = WireState::Ready;
+    vec![
+        line("127.0.0.1:1", "cache", ready),
+        line("127.0.0.1:2", "cache", ready),
+        line("127.0.0.1:8", "parent", ready),
+        line("127.0.0.1:9", "origin", ready),
+    ]
+}
+
+impl Stage {
+    fn new() -> Self {
+        let settings = parse("test", SETTINGS).unwrap_or_else(|e| panic!("{e}"));
+        let mut stage = Self { core: Core::new(&settings, 1), now: T0 };
+        stage.list(ListForm::Full, 1, fleet());
+        stage
+    }
+
+    fn tell(&mut self, input: Input) -> Vec<Output> {
+        let mut out = vec![];
+        self.core.handle(self.now, input, &mut out);
+        out
+    }
+
+    fn list(&mut self, form: ListForm, seq: u64, members: Vec<MemberLine>) -> Option<String> {
+        let out = self.tell(Input::Members(ListHead { form: form as i32, seq, members }));
+        out.into_iter().find_map(|o| if let Output::List(news) = o { news.wanted } else { None })
+    }
+
+    fn ask(&mut self, id: u64, class: usize) -> Vec<Output> {
+        let object = format!("/video/{id}");
+        let ask = Ask { class, object, group: 3, left: 2_000 * MS, ..Default::default() };
+        self.tell(Input::Request(id, ask))
+    }
+
+    /// Lets time pass, timer by timer, up to a moment.
+    fn to(&mut self, until: u64) -> Vec<Output> {
+        let mut out = vec![];
+        while let Some(at) = self.core.next_timer().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            out.extend(self.tell(Input::Tick));
+        }
+        self.now = until;
+        out
+    }
+}
+
+fn sent(out: &[Output]) -> Option<(u32, String, Option<FetchOrder>)> {
+    out.iter().find_map(|o| match o {
+        Output::Send { attempt, member, fetch, .. } => Some((*attempt, member.clone(), fetch.clone())),
+        _ => None,
+    })
+}
+
+fn finals(out: &[Output]) -> usize {
+    let is_final = |o: &&Output| {
+        matches!(
+            o,
+            Output::Refuse { .. } | Output::Fail { .. } | Output::Break { .. } | Output::Commit { .. }
+        )
+    };
+    out.iter().filter(is_final).count()
+}
+
+/// Whichever of the two comes first in the same moment, there is one final answer and the other does nothing.
+#[test]
+fn an_answer_and_the_deadline_in_the_same_moment_give_one_final_answer() {
+    for answer_first in [true, false] {
+        let mut stage = Stage::new();
+        let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+        let mut out = stage.to(T0 + 1_979 * MS);
+        stage.now = T0 + 1_980 * MS;
+        let head = Input::Head { request: 1, attempt, note: WireNote::Hit };
+        if answer_first {
+            out.extend(stage.tell(head));
+            out.extend(stage.tell(Input::Ended { request: 1, attempt, end: AttemptEnd::Complete }));
+            out.extend(stage.tell(Input::Tick));
+        } else {
+            out.extend(stage.tell(Input::Tick));
+            out.extend(stage.tell(head));
+            out.extend(stage.tell(Input::Ended { request: 1, attempt, end: AttemptEnd::Complete }));
+        }
+        assert_eq!(finals(&out), 1, "answer first: {answer_first}: {out:?}");
+        assert_eq!(matches!(out.last(), Some(Output::Commit { .. })), answer_first);
+        assert_eq!(stage.core.open_requests(), 0);
+    }
+}
+
+#[test]
+fn every_request_is_answered_before_its_deadline_when_members_say_nothing() {
+    let mut stage = Stage::new();
+    for id in 1..=50 {
+        stage.ask(id, (id % 2) as usize);
+    }
+    let out = stage.to(T0 + 2_000 * MS - 1);
+    assert_eq!(finals(&out), 50);
+    assert_eq!(stage.core.open_requests(), 0);
+}
+
+/// After the head was passed on there is no other attempt: the client would get two answers in one.
+#[test]
+fn a_break_after_the_first_byte_ends_the_request_as_broken_off() {
+    let mut stage = Stage::new();
+    let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+    assert_eq!(finals(&stage.tell(Input::Head { request: 1, attempt, note: WireNote::Hit })), 1);
+    let out = stage.tell(Input::Ended { request: 1, attempt, end: AttemptEnd::Broken });
+    assert_eq!(out, [Output::Break { request: 1 }]);
+    let late = stage.to(T0 + 3_000 * MS);
+    assert!(late.is_empty(), "{late:?}");
+}
+
+#[test]
+fn a_client_that_leaves_while_its_answer_streams_ends_the_attempt_and_nothing_follows() {
+    let mut stage = Stage::new();
+    let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+    stage.tell(Input::Head { request: 1, attempt, note: WireNote::Hit });
+    let out = stage.tell(Input::Gone(1));
+    assert_eq!(out, [Output::Abort { request: 1, attempt }]);
+    assert!(stage.to(T0 + 3_000 * MS).is_empty());
+    assert_eq!(stage.core.open_requests(), 0);
+}
+
+#[test]
+fn an_unsafe_request_goes_on_only_when_nothing_ran() {
+    let mut stage = Stage::new();
+    let (attempt, ..) = sent(&stage.ask(1, 1)).unwrap();
+    let out = stage.tell(Input::Ended { request: 1, attempt, end: AttemptEnd::ConnectFailed });
+    let (attempt, ..) = sent(&out).expect("nothing ran: sent again");
+    let told = AttemptEnd::Told { status: WireStatus::Full, note: WireNote::Untold, may_have_run: true };
+    let out = stage.tell(Input::Ended { request: 1, attempt, end: told });
+    assert_eq!(
+        out,
+        [Output::Fail { request: 1 }],
+        "a status that promises more than its frame is not believed"
+    );
+}
+
+/// A drain must not wait for the list that was lost before it.
+#[test]
+fn a_delta_after_a_gap_is_used_and_the_whole_list_asked_for() {
+    let mut stage = Stage::new();
+    let drain = line("127.0.0.1:1", "cache", WireState::Draining);
+    let wanted = stage.list(ListForm::Delta, 5, vec![drain.clone()]);
+    assert!(wanted.is_some());
+    for id in 1..=6 {
+        let (_, member, _) = sent(&stage.ask(id, 0)).unwrap();
+        assert_eq!(member, "127.0.0.1:2");
+    }
+    // One from the past must not bring it back.
+    stage.list(ListForm::Delta, 4, vec![line("127.0.0.1:1", "cache", WireState::Ready)]);
+    assert_eq!(sent(&stage.ask(40, 0)).unwrap().1, "127.0.0.1:2");
+    assert_eq!(stage.list(ListForm::Full, 9, vec![drain]), None);
+    assert_eq!(stage.core.list_seq(), 9);
+}
+
+#[test]
+fn a_purge_for_an_object_under_way_binds_the_next_attempt() {
+    let mut stage = Stage::new();
+    let (attempt, _, fetch) = sent(&stage.ask(1, 0)).unwrap();
+    assert_eq!(fetch.unwrap().age, 0, "good until purged");
+    stage.tell(Input::Purge(PurgeHead { object: None, group: 3, age_us: 30 * MS, seq: 1 }));
+    stage.now += 10 * MS;
+    let out = stage.tell(Input::Ended { request: 1, attempt, end: AttemptEnd::ConnectFailed });
+    let (_, _, fetch) = sent(&out).unwrap();
+    let fetch = fetch.unwrap();
+    assert!((1..=40 * MS).contains(&fetch.age) && !fetch.join, "{fetch:?}");
+}
+
+/// Told ages jitter; the same start must not look like another process, and another start must.
+#[test]
+fn a_member_is_the_same_process_while_its_start_is() {
+    let mut stage = Stage::new();
+    let cold = |start, ago| MemberLine {
+        start,
+        started_ago_us: Some(ago),
+        ..line("127.0.0.1:1", "cache", WireState::Ready)
+    };
+    stage.list(ListForm::Delta, 2, vec![cold(1, 500 * MS)]);
+    stage.now += 1_000 * MS;
+    stage.list(ListForm::Delta, 3, vec![cold(1, 1_700 * MS)]);
+    let ago = |stage: &mut Stage| {
+        let list = stage.core.members(stage.now);
+        list.members.iter().find(|m| m.address == "127.0.0.1:1").unwrap().started_ago_us
+    };
+    assert_eq!(ago(&mut stage), Some(1_500 * MS), "as first told");
+    stage.list(ListForm::Delta, 4, vec![cold(2, 100 * MS)]);
+    assert_eq!(ago(&mut stage), Some(100 * MS), "another start");
+}
+
+mod state {
+    use super::*;
+    use pointspindle_edge::core::state::{Snapshot, StateError};
+
+    #[test]
+    fn a_state_is_told_after_a_restart_with_its_ages_grown() {
+        let mut stage = Stage::new();
+        stage.tell(Input::Purge(PurgeHead {
+            object: Some("/video/1".into()),
+            group: 3,
+            age_us: 5 * MS,
+            seq: 1,
+        }));
+        let bytes = stage.core.snapshot(stage.now).to_bytes(1_000_000);
+        let (list, purges) = Snapshot::from_bytes(&bytes).unwrap().told(1_002_000);
+        assert_eq!((list.form(), list.members.len(), list.seq), (ListForm::Cached, 4, 1));
+        assert_eq!(purges[0].age_us, 2_005 * MS);
+        // A wall clock that ran backwards makes a purge younger, never older.
+        let (_, purges) = Snapshot::from_bytes(&bytes).unwrap().told(5);
+        assert_eq!(purges[0].age_us, 5 * MS);
+    }
+
+    #[test]
+    fn a_torn_or_foreign_file_is_told_from_a_good_one() {
+        let mut stage = Stage::new();
+        let good = stage.core.snapshot(stage.now).to_bytes(1);
+        for cut in [0, 5, 20, 40, good.len() - 1] {
+            assert!(Snapshot::from_bytes(&good[..cut]).is_err(), "cut at {cut}");
+        }
+        for at in 0..good.len() {
+            let mut wrong = good.clone();
+            wrong[at] ^= 1;
+            assert!(Snapshot::from_bytes(&wrong).is_err(), "byte {at} changed");
+        }
+        assert_eq!(Snapshot::from_bytes(b"[dispatcher]\nname = x\n"), Err(StateError::Foreign));
+        let later = String::from_utf8(good).unwrap().replacen("state 1", "state 2", 1);
+        assert_eq!(Snapshot::from_bytes(later.as_bytes()), Err(StateError::Version(2)));
+    }
+
+    #[test]
+    fn more_purges_than_are_kept_one_by_one_are_kept_by_group() {
+        let mut stage = Stage::new();
+        for n in 0..20_000 {
+            let object = Some(format!("/video/{n}"));
+            stage.tell(Input::Purge(PurgeHead { object, group: n % 7, age_us: 0, seq: 1 }));
+        }
+        let (_, purges) = stage.core.snapshot(stage.now).told(0);
+        let whole: Vec<u64> = purges.iter().filter(|p| p.object.is_none()).map(|p| p.group).collect();
+        assert_eq!(whole, (0..7).collect::<Vec<u64>>());
+        stage.now += 60_000 * MS;
+        assert!(stage.core.snapshot(stage.now).told(0).1.is_empty(), "forgotten in time");
+    }
+}
--- a/crates/lab/src/day/settings.rs
+++ b/crates/lab/src/day/settings.rs
@@ -61,7 +61,7 @@
     }
     for (n, zone) in zones.iter().enumerate() {
         let count = if n < s.branches { s.dispatchers } else { 0 };
-        let _ = write!(t, "[zone {zone}]\ndispatchers = {count}\n");
+        let _ = writeln!(t, "[zone {zone}]\ndispatchers = {count}");
     }
     for c in &s.classes {
         let _ = write!(
@@ -76,13 +76,13 @@
             ms(c.grace),
         );
         let _ = match c.effect {
-            Effect::Safe => write!(t, "path_prefix = /{}/\n", c.name),
+            Effect::Safe => writeln!(t, "path_prefix = /{}/", c.name),
             Effect::Keyed => write!(
                 t,
                 "repeat = keyed\nkey_group = all\nkey_window_ms = {}\nuncacheable = yes\n",
                 ms(s.key_window)
             ),
-            Effect::Unsafe => write!(t, "repeat = unsafe\nuncacheable = yes\n"),
+            Effect::Unsafe => writeln!(t, "repeat = unsafe\nuncacheable = yes"),
         };
     }
     t
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -834,10 +834,9 @@
         let (status, note, ran) = match told {
             Some((WireStatus::Full, _)) => (WireStatus::Full, WireNote::SourceRefused, false),
             Some((WireStatus::Miss, _)) => (WireStatus::Miss, WireNote::SourceLacks, false),
-            Some((_, n)) if matches!(n, WireNote::SourceRefused | WireNote::SourceUnreachable) => {
+            Some((_, WireNote::SourceRefused | WireNote::SourceUnreachable | WireNote::OriginFailed)) => {
                 (WireStatus::Error, WireNote::OriginFailed, true)
             }
-            Some((_, WireNote::OriginFailed)) => (WireStatus::Error, WireNote::OriginFailed, true),
             _ => (WireStatus::Error, WireNote::SourceUnreachable, true),
         };
         // A parent whose origin turned it away says so as a failure of the origin, not as its own lack of room.
--- a/crates/lab/src/sockets/fills.rs
+++ b/crates/lab/src/sockets/fills.rs
@@ -4,7 +4,7 @@
 use crate::content::Checker;
 use crate::model::{Answer, Copy, FillId, HostId, In, SourceEnd, Wanted};
 use pointspindle_link::{CallEnd, Part};
-use pointspindle_wire::{AnswerHead, LoadReport};
+use pointspindle_wire::AnswerHead;
 
 /// Longest wait that a fill tells its source; the world gives up earlier by itself.
 const LEFT_US: u64 = 10_000_000;
@@ -54,7 +54,7 @@
         age: head.age_us,
         fresh_left: head.fresh_left_us,
         not_modified: head.not_modified,
-        load: head.load.unwrap_or(LoadReport::default()),
+        load: head.load.unwrap_or_default(),
         code: if head.code == 0 { 200 } else { head.code as u16 },
     }
 }
--- a/crates/link/src/tasks.rs
+++ b/crates/link/src/tasks.rs
@@ -7,6 +7,7 @@
 use pointspindle_wire::*;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio_util::codec::{FramedRead, FramedWrite};
@@ -17,6 +18,8 @@
 const INCOMING_QUEUE: usize = 64;
 /// Buffer of the writer before it waits for the socket.
 const WRITE_BUFFER: usize = 128 * 1024;
+/// Longest time for what is still queued when a connection is closed here.
+const LAST_WORDS: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug)]
 pub struct LinkOptions {
@@ -31,6 +34,7 @@
 
 /// What the writer is given outside its bounded queue: rare, small, and must not wait (cancels, credit).
 #[derive(Debug)]
+#[allow(clippy::large_enum_variant)] // Almost all are frames.
 pub(crate) enum Out {
     Frame(Frame),
     Close,
@@ -59,6 +63,8 @@
     urgent: mpsc::UnboundedSender<Out>,
     pub(crate) connection_credit: Credit,
     closed: watch::Sender<bool>,
+    /// Nothing more is written, nor waits for it.
+    written: watch::Sender<bool>,
 }
 
 impl Shared {
@@ -90,6 +96,11 @@
         self.table().closed.clone().unwrap_or_else(|| "cancelled".into())
     }
 
+    fn failed(&self, e: &FrameError) {
+        self.close(&format!("writing failed: {e}"));
+        self.written.send_replace(true);
+    }
+
     /// Ends every stream, once.
     fn close(&self, why: &str) {
         let entries = {
@@ -119,6 +130,7 @@
 
 /// What the peer wants of us.
 #[derive(Debug)]
+#[allow(clippy::large_enum_variant)] // Moved once, from a queue.
 pub enum Inbound {
     Request(RequestHead, Responder),
     /// Lists, purges, acknowledgements, probes, go-away.
@@ -164,6 +176,7 @@
             urgent,
             connection_credit: Credit::new(CONNECTION_WINDOW),
             closed: watch::channel(false).0,
+            written: watch::channel(false).0,
         });
         let mut frames = FramedWrite::new(write, FrameCodec::default());
         frames.set_backpressure_boundary(WRITE_BUFFER);
@@ -227,6 +240,12 @@
         self.shared.table().entries.len()
     }
 
+    /// Returns when all that was queued has been written, or cannot be any more. Call after [`Link::close`].
+    pub async fn written(&self) {
+        let mut written = self.shared.written.subscribe();
+        let _ = written.wait_for(|written| *written).await;
+    }
+
     pub async fn closed(&self) {
         let mut closed = self.shared.closed.subscribe();
         let _ = closed.wait_for(|closed| *closed).await;
@@ -251,7 +270,7 @@
         };
         let Out::Frame(frame) = out else { break };
         if let Err(e) = frames.feed(frame).await {
-            return shared.close(&format!("writing failed: {e}"));
+            return shared.failed(&e);
         }
         let mut closing = false;
         while let Some(out) = urgents.try_recv().ok().or_else(|| queued.try_recv().ok().map(Out::Frame)) {
@@ -260,18 +279,30 @@
                 break;
             };
             if let Err(e) = frames.feed(frame).await {
-                return shared.close(&format!("writing failed: {e}"));
+                return shared.failed(&e);
             }
         }
         if let Err(e) = frames.flush().await {
-            return shared.close(&format!("writing failed: {e}"));
+            return shared.failed(&e);
         }
         if closing {
             break;
         }
     }
-    let _ = frames.close().await;
+    // What was queued before the close still goes out: it may hold final answers. A peer that reads nothing gets
+    // no more time than this.
+    queued.close();
+    let last = async {
+        while let Ok(frame) = queued.try_recv() {
+            if frames.feed(frame).await.is_err() {
+                return;
+            }
+        }
+        let _ = frames.close().await;
+    };
+    let _ = tokio::time::timeout(LAST_WORDS, last).await;
     shared.close("closed here");
+    shared.written.send_replace(true);
 }
 
 async fn read_all(mut frames: Reader, incoming: mpsc::Sender<Inbound>, shared: Arc<Shared>) {
--- /dev/null
+++ b/crates/link/tests/link.rs
@@ -0,0 +1,171 @@
+//! Two ends of a connection over a real socket, and one end against a peer that breaks the rules.
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use pointspindle_link::*;
+use pointspindle_wire::streams::*;
+use pointspindle_wire::*;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::Framed;
+
+async fn sockets() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let (here, there) = tokio::join!(TcpStream::connect(to), listener.accept());
+    (here.unwrap(), there.unwrap().0)
+}
+
+async fn pair() -> (Link, Link, Incoming) {
+    let (here, there) = sockets().await;
+    let (caller, _) = Link::start(here, Side::Caller, LinkOptions::default());
+    let (answerer, incoming) = Link::start(there, Side::Answerer, LinkOptions::default());
+    (caller, answerer, incoming)
+}
+
+fn ask(object: &str) -> RequestHead {
+    RequestHead { object: object.into(), ..Default::default() }
+}
+
+async fn next_request(incoming: &mut Incoming) -> (RequestHead, Responder) {
+    match incoming.next().await {
+        Some(Inbound::Request(head, responder)) => (head, responder),
+        other => panic!("no request: {other:?}"),
+    }
+}
+
+async fn body(call: &mut Call) -> (usize, Option<CallEnd>) {
+    let mut bytes = 0;
+    while let Some(part) = call.next().await {
+        match part {
+            Part::Head(_) => {}
+            Part::Data(data) => bytes += data.len(),
+            Part::End(end) => return (bytes, Some(end)),
+        }
+    }
+    (bytes, None)
+}
+
+/// Credit that is never given back stops the stream of the one who reads nothing, and nobody else's.
+#[tokio::test]
+async fn one_slow_reader_holds_up_nobody_else() {
+    let (caller, _answerer, mut incoming) = pair().await;
+    let slow = caller.call(ask("slow")).unwrap();
+    let (_, mut stalled) = next_request(&mut incoming).await;
+    stalled.head(AnswerHead::default()).await.unwrap();
+    let sending = tokio::spawn(async move { stalled.data(Bytes::from(vec![0; 4 << 20])).await });
+    for n in 0..20 {
+        let mut quick = caller.call(ask(&format!("quick {n}"))).unwrap();
+        let (_, mut responder) = next_request(&mut incoming).await;
+        tokio::spawn(async move {
+            responder.head(AnswerHead::default()).await.unwrap();
+            responder.data(Bytes::from(vec![0; 1 << 20])).await.unwrap();
+            responder.end(None).await.unwrap();
+        });
+        let (bytes, end) = body(&mut quick).await;
+        assert_eq!(bytes, 1 << 20);
+        assert!(matches!(end, Some(CallEnd::Complete(_))));
+    }
+    assert!(!sending.is_finished(), "it waits for credit");
+    drop(slow);
+    assert!(sending.await.unwrap().is_err(), "the cancel reaches the one who waits for credit");
+}
+
+#[tokio::test]
+async fn a_dropped_call_is_cancelled_and_a_dropped_responder_says_it_may_have_run() {
+    let (caller, answerer, mut incoming) = pair().await;
+    let call = caller.call(ask("a")).unwrap();
+    let (_, responder) = next_request(&mut incoming).await;
+    drop(call);
+    responder.gone().await;
+    drop(responder);
+    let mut call = caller.call(ask("b")).unwrap();
+    let (_, responder) = next_request(&mut incoming).await;
+    drop(responder);
+    match body(&mut call).await.1 {
+        Some(CallEnd::Error(e)) => assert!(e.may_have_run),
+        other => panic!("{other:?}"),
+    }
+    drop(call);
+    assert_eq!((caller.open_streams(), answerer.open_streams()), (0, 0), "nothing is kept of either");
+}
+
+/// A client in haste: what is over the limit is turned away one by one, the connection and the others live.
+#[tokio::test]
+async fn a_thousand_streams_at_once_get_an_answer_each() {
+    let (here, there) = sockets().await;
+    let (caller, _) = Link::start(here, Side::Caller, LinkOptions { max_streams: 2_000 });
+    let (_answerer, mut incoming) = Link::start(there, Side::Answerer, LinkOptions { max_streams: 100 });
+    let calls: Vec<Call> = (0..1_000).map(|n| caller.call(ask(&n.to_string())).unwrap()).collect();
+    let mut accepted = vec![];
+    for _ in 0..100 {
+        accepted.push(next_request(&mut incoming).await.1);
+    }
+    let (mut full, mut first) = (0, vec![]);
+    for (n, mut call) in calls.into_iter().enumerate() {
+        if n < 100 {
+            first.push(call);
+            continue;
+        }
+        match body(&mut call).await.1 {
+            Some(CallEnd::Error(e)) if e.status() == WireStatus::Full && !e.may_have_run => full += 1,
+            other => panic!("{n}: {other:?}"),
+        }
+    }
+    assert_eq!(full, 900);
+    for responder in accepted {
+        let mut responder = responder;
+        responder.head(AnswerHead::default()).await.unwrap();
+        responder.end(None).await.unwrap();
+    }
+    for call in &mut first {
+        assert!(matches!(body(call).await.1, Some(CallEnd::Complete(_))));
+    }
+}
+
+/// The peer speaks frames by hand.
+async fn against(frames: Vec<Frame>) -> (Option<CallEnd>, String) {
+    let (here, there) = sockets().await;
+    let (caller, _) = Link::start(here, Side::Caller, LinkOptions::default());
+    let mut call = caller.call(ask("a")).unwrap();
+    let mut peer = Framed::new(there, FrameCodec::default());
+    assert!(matches!(peer.next().await, Some(Ok(Frame::Request(1, _)))));
+    for frame in frames {
+        peer.send(frame).await.unwrap();
+    }
+    drop(peer);
+    let end = body(&mut call).await.1;
+    tokio::time::timeout(Duration::from_secs(5), caller.closed()).await.expect("it closes");
+    (end, caller.why_closed())
+}
+
+#[tokio::test]
+async fn a_peer_that_breaks_the_protocol_ends_the_connection_and_never_a_call_well() {
+    let head = || Frame::Head(1, AnswerHead::default());
+    let data = |n: usize| Frame::Data(1, Bytes::from(vec![0; n]));
+    let end = |bytes| Frame::End(1, EndHead { bytes, load: None });
+    for (frames, why) in [
+        (vec![head(), data(5), end(6)], "counts other bytes"),
+        (vec![data(5)], "data before the head"),
+        (vec![head(), head()], "a second head"),
+        (vec![Frame::Head(7, AnswerHead::default())], "nothing that was asked"),
+        (vec![Frame::Request(2, ask("b"))], "only the other side"),
+        (vec![head(), data(5)], "the peer closed"),
+    ] {
+        let (got, told) = against(frames).await;
+        assert!(matches!(got, Some(CallEnd::Broken(_))), "{why}: {got:?}");
+        assert!(told.contains(why), "{told:?} is not {why:?}");
+    }
+    let (got, told) = against(vec![head(), end(0), end(0)]).await;
+    assert!(matches!(got, Some(CallEnd::Complete(_))), "the first end counts");
+    assert!(told.contains("after its end"), "{told}");
+}
+
+#[tokio::test]
+async fn garbage_in_place_of_the_preface_is_no_request() {
+    use tokio::io::AsyncWriteExt;
+    let (mut here, there) = sockets().await;
+    let (answerer, mut incoming) = Link::start(there, Side::Answerer, LinkOptions::default());
+    here.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    assert!(incoming.next().await.is_none());
+    assert!(answerer.why_closed().contains("preface"), "{}", answerer.why_closed());
+}
