--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -2,6 +2,7 @@
 use crate::Failure;
 use pointspindle_lab::audit::Rule;
 use pointspindle_lab::day::{self, Outcome, Plant};
+use pointspindle_lab::import;
 use pointspindle_lab::scenario::{self, Scenario};
 use std::path::PathBuf;
 
@@ -12,6 +13,13 @@
     Run(RunArguments),
     /// Check a scenario; names line and reason of everything that is wrong.
     Check { file: PathBuf },
+    /// Turn a day drawn by a dispatcher bench (JSON) into a scenario, on standard output.
+    Import {
+        day: PathBuf,
+        /// At the day's own size, for virtual time; else at loopback size, for sockets.
+        #[arg(long)]
+        full: bool,
+    },
 }
 
 #[derive(clap::Args)]
@@ -43,6 +51,16 @@
 pub async fn run(command: Command) -> Result<(), Failure> {
     match command {
         Command::Run(arguments) => play(arguments).await,
+        Command::Import { day, full } => {
+            let text = std::fs::read_to_string(&day)?;
+            let size = if full { import::Size::Full } else { import::Size::Loopback };
+            let (scenario, left) = import::import(&text, size)?;
+            for why in left {
+                eprintln!("not carried over: {why}");
+            }
+            print!("{scenario}");
+            Ok(())
+        }
         Command::Check { file } => match scenario::load(&file, None) {
             Ok(s) => {
                 println!(
--- a/crates/lab/src/audit/mod.rs
+++ b/crates/lab/src/audit/mod.rs
@@ -73,6 +73,7 @@
     pub id: TryId,
     pub dispatcher: usize,
     pub class: usize,
+    pub number: u64,
     pub group: u64,
     pub asked: Micros,
     pub deadline: Micros,
@@ -103,12 +104,13 @@
             let at = sight.at;
             let place = |id: &TryId| places.get(id).copied();
             match &sight.saw {
-                Saw::Asked { id, dispatcher, class, group, deadline, .. } => {
+                Saw::Asked { id, dispatcher, class, number, group, deadline, .. } => {
                     places.insert(*id, tries.len());
                     tries.push(Try {
                         id: *id,
                         dispatcher: *dispatcher,
                         class: *class,
+                        number: *number,
                         group: *group,
                         asked: at,
                         deadline: *deadline,
--- a/crates/lab/src/audit/purges.rs
+++ b/crates/lab/src/audit/purges.rs
@@ -4,6 +4,12 @@
 use pointspindle::Micros;
 use std::collections::HashMap;
 
+#[derive(PartialEq, Eq, Hash)]
+enum Struck {
+    Group(u64),
+    Object(u64),
+}
+
 /// A purge as one dispatcher was told it.
 struct Told {
     at: Micros,
@@ -13,11 +19,12 @@
 
 pub(super) fn judge(e: &Evidence) -> Rule {
     let mut rule = Rule::new("purges", "nothing sent after a purge's grace is answered from an older copy");
-    let mut told: HashMap<(usize, u64), Vec<Told>> = HashMap::new();
+    let mut told: HashMap<(usize, Struck), Vec<Told>> = HashMap::new();
     for sight in e.sights {
-        if let Saw::ToldPurge { dispatcher, group, version_from } = &sight.saw {
+        if let Saw::ToldPurge { dispatcher, object, group, version_from } = &sight.saw {
             let new = Told { at: sight.at, version: *version_from };
-            told.entry((*dispatcher, *group)).or_default().push(new);
+            let struck = object.map_or(Struck::Group(*group), Struck::Object);
+            told.entry((*dispatcher, struck)).or_default().push(new);
         }
     }
     let late = e.scenario.rules.purge_grace + e.slack;
@@ -25,8 +32,9 @@
         let Some((at, End::Served { version: Some(version), .. })) = t.ends.first() else { continue };
         // The answer came from the last attempt that was out before it.
         let Some(attempt) = t.attempts.iter().rfind(|a| a.from <= *at) else { continue };
-        let Some(purges) = told.get(&(attempt.by, t.group)) else { continue };
-        let due = purges.iter().filter(|p| attempt.from > p.at + late);
+        let of = |struck| told.get(&(attempt.by, struck)).into_iter().flatten();
+        let purges = of(Struck::Group(t.group)).chain(of(Struck::Object(t.number)));
+        let due = purges.filter(|p| attempt.from > p.at + late);
         let Some(newest) = due.max_by_key(|p| p.version) else { continue };
         rule.checked += 1;
         if *version < newest.version {
--- a/crates/lab/src/book.rs
+++ b/crates/lab/src/book.rs
@@ -26,8 +26,9 @@
     /// Changed lines, and the number of the list.
     Delta(u64, Vec<Line>),
     Full(u64, Vec<Line>),
-    /// An object group and when it was purged.
+    /// An object, or a whole group, and when it was purged.
     Purge {
+        object: Option<String>,
         group: u64,
         at: Micros,
     },
@@ -46,7 +47,7 @@
     rules: RulesDay,
     lines: Vec<Line>,
     ears: Vec<Ear>,
-    purges: VecDeque<(Micros, u64)>,
+    purges: VecDeque<(Micros, Option<String>, u64)>,
     more: (Micros, Micros),
     rng: StdRng,
 }
@@ -101,14 +102,14 @@
         }
     }
 
-    pub fn purge(&mut self, now: Micros, group: u64) {
-        self.purges.push_back((now, group));
+    pub fn purge(&mut self, now: Micros, object: Option<String>, group: u64) {
+        self.purges.push_back((now, object.clone(), group));
         let keep = self.rules.purge_done + 1_000_000;
-        self.purges.retain(|(at, _)| at + keep > now);
+        self.purges.retain(|(at, ..)| at + keep > now);
         for ear in self.ears.iter_mut().filter(|e| !e.deaf) {
             let (least, most) = self.rules.purge_told;
             let due = now + self.rng.gen_range(least..=most);
-            ear.push(due, Told::Purge { group, at: now });
+            ear.push(due, Told::Purge { object: object.clone(), group, at: now });
         }
     }
 
@@ -125,8 +126,9 @@
         let ear = &mut self.ears[dispatcher];
         ear.deaf = false;
         ear.seq += 1;
-        for (at, group) in &self.purges {
-            ear.waiting.push_back((now, Told::Purge { group: *group, at: *at }));
+        for (at, object, group) in &self.purges {
+            let told = Told::Purge { object: object.clone(), group: *group, at: *at };
+            ear.waiting.push_back((now, told));
         }
         let seq = ear.seq;
         ear.waiting.push_back((now, Told::Full(seq, lines)));
--- a/crates/lab/src/day/control.rs
+++ b/crates/lab/src/day/control.rs
@@ -4,7 +4,7 @@
 use crate::record::{Recorder, Saw};
 use crate::scenario::script::Listed;
 use crate::sockets::Stage;
-use pointspindle::Micros;
+use pointspindle::{Micros, ObjectId};
 use pointspindle_link::{Link, LinkOptions};
 use pointspindle_wire::streams::Side;
 use pointspindle_wire::*;
@@ -18,6 +18,7 @@
 pub enum News {
     Change(Line),
     Purge {
+        object: Option<String>,
         group: u64,
     },
     Delay {
@@ -67,7 +68,7 @@
             match next {
                 None => return,
                 Some(News::Change(line)) => self.book.change(now, line),
-                Some(News::Purge { group }) => self.book.purge(now, group),
+                Some(News::Purge { object, group }) => self.book.purge(now, object, group),
                 Some(News::Delay { more, until }) => self.book.delay(more, until),
                 Some(News::Down { dispatcher }) => {
                     self.book.deafen(dispatcher);
@@ -95,11 +96,17 @@
     async fn tell(&mut self, dispatcher: usize, link: &Link, told: Told) {
         let now = self.recorder.now();
         let (frame, saw, hidden) = match told {
-            Told::Purge { group, at } => {
-                let version_from = self.stage.with(|w| w.version(0, group));
+            Told::Purge { object, group, at } => {
+                let number = object.as_deref().map(|o| ObjectId::named(o).0);
+                // Of a group: what every object of it has at least.
+                let version_from = self.stage.with(|w| w.version(number.unwrap_or(0), group));
                 let age_us = now.saturating_sub(at);
-                let head = PurgeHead { object: None, group, age_us, seq: 0 };
-                (Frame::Purge(head), Saw::ToldPurge { dispatcher, group, version_from }, false)
+                let head = PurgeHead { object, group, age_us, seq: 0 };
+                (
+                    Frame::Purge(head),
+                    Saw::ToldPurge { dispatcher, object: number, group, version_from },
+                    false,
+                )
             }
             Told::Delta(seq, lines) => self.list(dispatcher, ListForm::Delta, seq, lines, now),
             Told::Full(seq, lines) => self.list(dispatcher, ListForm::Full, seq, lines, now),
--- a/crates/lab/src/day/mod.rs
+++ b/crates/lab/src/day/mod.rs
@@ -15,7 +15,7 @@
 use crate::sockets::{Stage, StageOptions, EPOCH};
 use clients::{Clients, Target};
 use control::{Control, News};
-use pointspindle::Micros;
+use pointspindle::{Micros, ObjectId};
 use process::{source_ip, Process};
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -265,16 +265,13 @@
                 }
             }
             Step::Purge { group } => {
-                let now = stage.now();
                 for group in purge_groups(scenario, *group) {
-                    stage.tell(In::Change { object: None, group });
-                    let _ = news.send(News::Purge { group });
-                    if plant == Some(Plant::Purge) {
-                        continue;
-                    }
-                    drop_late(scenario, stage, group, now);
+                    purge(scenario, stage, news, None, group, plant);
                 }
             }
+            Step::PurgeObject { object, group } => {
+                purge(scenario, stage, news, Some(object.clone()), *group, plant);
+            }
             Step::Kill { dispatcher } => {
                 recorder.saw(Saw::Killed { dispatcher: *dispatcher });
                 let _ = news.send(News::Down { dispatcher: *dispatcher });
@@ -293,16 +290,35 @@
     Ok(())
 }
 
-/// Caches and parents drop their older copies by themselves, each in its own time.
-fn drop_late(scenario: &Scenario, stage: &Stage, group: u64, at: Micros) {
+/// The origin has new versions from now on; dispatchers hear of it late, members drop their older copies by
+/// themselves, each in its own time.
+fn purge(
+    scenario: &Scenario,
+    stage: &Stage,
+    news: &mpsc::UnboundedSender<News>,
+    object: Option<String>,
+    group: u64,
+    plant: Option<Plant>,
+) {
+    let at = stage.now();
+    let number = object.as_deref().map(|o| ObjectId::named(o).0);
+    stage.tell(In::Change { object: number, group });
+    let _ = news.send(News::Purge { object, group });
+    if plant == Some(Plant::Purge) {
+        return;
+    }
     let hosts: Vec<usize> = stage.with(|w| w.hosts().map(|(id, _)| id).collect());
     for host in hosts {
-        let spread = stream(scenario.seed, &format!("drop {group} {host} {at}"));
-        let after = spread % scenario.rules.purge_done.max(1);
+        let after = drop_delay(scenario, number.unwrap_or(group), host, at);
         let stage = stage.clone();
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_micros(after)).await;
-            stage.tell(In::Purge { host, object: None, group, at });
+            stage.tell(In::Purge { host, object: number, group, at });
         });
     }
 }
+
+/// How long a member keeps its copies from before a purge.
+pub(crate) fn drop_delay(scenario: &Scenario, what: u64, host: usize, at: Micros) -> Micros {
+    stream(scenario.seed, &format!("drop {what} {host} {at}")) % scenario.rules.purge_done.max(1)
+}
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -101,6 +101,7 @@
     },
     ToldPurge {
         dispatcher: usize,
+        object: Option<u64>,
         group: u64,
         version_from: u64,
     },
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -97,6 +97,8 @@
     pub rate: f64,
     /// Not counted in the service: caches fill.
     pub warm: Micros,
+    /// Purges of single objects a second, on top of scripted ones.
+    pub purges: f64,
     pub branches: usize,
     pub caches: usize,
     pub dispatchers: usize,
--- a/crates/lab/src/scenario/read.rs
+++ b/crates/lab/src/scenario/read.rs
@@ -57,6 +57,7 @@
     let seconds = d.num("day", "seconds", 45.0, 2.0, 3_600.0);
     let rate = d.num("day", "rate", 90.0, 0.1, 1e6);
     let warm = d.s("day", "warm_s", 3.0);
+    let purges = d.num("day", "purges_per_s", 0.0, 0.0, 1_000.0);
     let scenario = Scenario {
         name: Path::new(name).file_stem().map_or(name.to_owned(), |s| s.to_string_lossy().into_owned()),
         about,
@@ -64,6 +65,7 @@
         seed,
         rate,
         warm,
+        purges,
         branches: d.count("fleet", "branches", 3, 1),
         caches: d.count("fleet", "caches", 3, 1),
         dispatchers: d.count("fleet", "dispatchers", 1, 1),
--- a/crates/lab/src/scenario/script.rs
+++ b/crates/lab/src/scenario/script.rs
@@ -1,5 +1,5 @@
 //! Troubles as steps in time: what happens to which member or dispatcher when, and what the list says of it.
-use super::traffic::group_number;
+use super::traffic::{group_number, group_path};
 use super::{stream, Scenario};
 use crate::model::{Fault, HostId, HostSpec, Role};
 use pointspindle::Micros;
@@ -124,6 +124,11 @@
     Purge {
         group: u64,
     },
+    /// Of one object.
+    PurgeObject {
+        object: String,
+        group: u64,
+    },
     Kill {
         dispatcher: usize,
     },
@@ -174,12 +179,34 @@
             w.rng = StdRng::seed_from_u64(stream(scenario.seed, &words));
             w.trouble(trouble, &mut address);
         }
+        w.steady_purges();
         w.steps.sort_by_key(|(at, _)| *at);
         Self { steps: w.steps, newcomers: w.newcomers }
     }
 }
 
 impl Writer<'_> {
+    /// Single objects of cacheable classes, popular ones more often: what editors touch is what is read.
+    fn steady_purges(&mut self) {
+        if self.scenario.purges <= 0.0 {
+            return;
+        }
+        self.rng = StdRng::seed_from_u64(stream(self.scenario.seed, "purges"));
+        let classes: Vec<_> = self.scenario.classes.iter().filter(|c| !c.uncacheable).collect();
+        let mut at = 0.0;
+        while let Some(class) = classes.choose(&mut self.rng) {
+            at -= (1.0 - self.rng.gen::<f64>()).ln() / self.scenario.purges * 1e6;
+            if at as Micros >= self.scenario.length() {
+                break;
+            }
+            let rank = self.rng.gen_range(1..=class.objects);
+            let group = rank % self.scenario.groups;
+            let object = format!("{}/o{rank}", group_path(&class.name, group));
+            let group = group_number(&class.name, group);
+            self.step(at as Micros, Step::PurgeObject { object, group });
+        }
+    }
+
     fn step(&mut self, at: Micros, step: Step) {
         self.steps.push((at, step));
     }
