--- /dev/null
+++ b/crates/cli/benches/proxy.rs
@@ -0,0 +1,321 @@
+//! What the dispatcher costs, beside other ways to the same bytes, in one run on one machine.
+//!
+//! Ways: straight to a stand-in (HTTP, and framed), through a bare byte relay, through a plain `hyper` reverse
+//! proxy, through the dispatcher by each protocol. Each way's middle is a process of its own with one worker thread;
+//! its CPU time and memory are read from /proc. The load is a closed loop over a fixed number of connections.
+//!
+//! `cargo bench -p pointspindle-cli --bench proxy -- [seconds a row]`
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use pointspindle_link::{CallEnd, Inbound, Link, LinkOptions, Part};
+use pointspindle_wire::streams::Side;
+use pointspindle_wire::{AnswerHead, RequestHead, WireNote};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const CONNECTIONS: usize = 16;
+const SMALL: usize = 4 * 1024;
+const LARGE: usize = 1024 * 1024;
+
+fn size_of(path: &str) -> usize {
+    if path.contains("large") {
+        LARGE
+    } else {
+        SMALL
+    }
+}
+
+fn runtime(threads: usize) -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build().unwrap()
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).filter(|a| a != "--bench").collect();
+    match arguments.first().map(String::as_str) {
+        Some("serve") => runtime(1).block_on(serve(&arguments[1], arguments.get(2))),
+        seconds => {
+            let seconds = seconds.and_then(|s| s.parse().ok()).unwrap_or(3.0);
+            runtime(2).block_on(measure(Duration::from_secs_f64(seconds)));
+        }
+    }
+}
+
+// ---- the middles and the stand-ins, each in a process of its own
+
+async fn serve(what: &str, to: Option<&String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    println!("{}", listener.local_addr().unwrap());
+    let to: Option<SocketAddr> = to.map(|t| t.parse().unwrap());
+    let bodies = Arc::new((Bytes::from(vec![b's'; SMALL]), Bytes::from(vec![b'l'; LARGE])));
+    let client =
+        hyper_util::client::legacy::Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    loop {
+        let (socket, _) = listener.accept().await.unwrap();
+        let _ = socket.set_nodelay(true);
+        let bodies = bodies.clone();
+        match what {
+            "http" => {
+                tokio::spawn(async move {
+                    let answer = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+                        let body = if size_of(request.uri().path()) == LARGE {
+                            bodies.1.clone()
+                        } else {
+                            bodies.0.clone()
+                        };
+                        async move { Ok::<_, hyper::Error>(hyper::Response::new(Full::new(body))) }
+                    });
+                    let server = hyper::server::conn::http1::Builder::new();
+                    let _ = server.serve_connection(TokioIo::new(socket), answer).await;
+                });
+            }
+            "hyper" => {
+                let (client, to) = (client.clone(), to.unwrap());
+                tokio::spawn(async move {
+                    let pass = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+                        let uri = format!("http://{to}{}", request.uri().path());
+                        let onward = hyper::Request::get(uri).body(Full::new(Bytes::new())).unwrap();
+                        let client = client.clone();
+                        async move { client.request(onward).await }
+                    });
+                    let server = hyper::server::conn::http1::Builder::new();
+                    let _ = server.serve_connection(TokioIo::new(socket), pass).await;
+                });
+            }
+            "relay" => {
+                let to = to.unwrap();
+                tokio::spawn(async move {
+                    let (mut here, mut there) = (socket, TcpStream::connect(to).await.unwrap());
+                    let _ = there.set_nodelay(true);
+                    let _ = tokio::io::copy_bidirectional(&mut here, &mut there).await;
+                });
+            }
+            _ => {
+                tokio::spawn(framed_member(socket, bodies));
+            }
+        }
+    }
+}
+
+async fn framed_member(socket: TcpStream, bodies: Arc<(Bytes, Bytes)>) {
+    let (_link, mut incoming) = Link::start(socket, Side::Answerer, LinkOptions { max_streams: 8192 });
+    while let Some(inbound) = incoming.next().await {
+        let Inbound::Request(head, mut responder) = inbound else { continue };
+        let body = if size_of(&head.object) == LARGE { bodies.1.clone() } else { bodies.0.clone() };
+        tokio::spawn(async move {
+            let size = Some(body.len() as u64);
+            let answer = AnswerHead { size, note: WireNote::Hit as i32, ..Default::default() };
+            if responder.head(answer).await.is_ok() && responder.data(body).await.is_ok() {
+                let _ = responder.end(None).await;
+            }
+        });
+    }
+}
+
+/// A process that is ended with its handle.
+struct Process {
+    child: Child,
+    at: SocketAddr,
+    framed: Option<SocketAddr>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(arguments: &[&str]) -> Process {
+    use std::io::{BufRead, BufReader};
+    let mut command = Command::new(std::env::current_exe().unwrap());
+    let mut child = command.arg("serve").args(arguments).stdout(Stdio::piped()).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    Process { child, at: line.trim().parse().unwrap(), framed: None }
+}
+
+fn dispatcher(member: SocketAddr, folder: &std::path::Path) -> Process {
+    let (settings, ready) = (folder.join("edge.ini"), folder.join("ready"));
+    let text = format!(
+        "[dispatcher]\nzone = b\nnumber = 0\n[listen]\nhttp = 127.0.0.1:0\nframed = 127.0.0.1:0\nmax_streams = 4096\n\
+         [class page]\npath_prefix = /\ndeadline_ms = 20000\naim_ms = 5000\n\
+         [member m]\naddress = {member}\nkind = cache\nzone = b\nweight = 1000\n\
+         [member o]\naddress = 127.0.0.1:9\nkind = origin\nzone = b\nweight = 1000\n"
+    );
+    std::fs::write(&settings, text).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_pointspindle"))
+        .env("TOKIO_WORKER_THREADS", "1")
+        .args(["--log", "error", "serve"])
+        .arg(&settings)
+        .arg("--ready-file")
+        .arg(&ready)
+        .spawn()
+        .unwrap();
+    let bytes = loop {
+        match std::fs::read(&ready) {
+            Ok(bytes) => break bytes,
+            Err(_) => std::thread::sleep(Duration::from_millis(5)),
+        }
+    };
+    let bound: serde_json::Value = serde_json::from_slice(&bytes).unwrap();
+    let at = |door: &str| bound[door].as_str().unwrap().parse().unwrap();
+    Process { child, at: at("http"), framed: Some(at("framed")) }
+}
+
+/// User and system time so far, and resident memory in bytes.
+fn usage(process: &Process) -> (Duration, u64) {
+    let pid = process.child.id();
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+    let ticks: u64 = fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap();
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let rss = status.lines().find(|l| l.starts_with("VmRSS")).unwrap();
+    let kb: u64 = rss.split_whitespace().nth(1).unwrap().parse().unwrap();
+    (Duration::from_millis(ticks * 10), kb * 1024)
+}
+
+// ---- the load
+
+async fn http_loop(to: SocketAddr, path: String, until: Instant) -> Vec<u64> {
+    let mut socket = TcpStream::connect(to).await.unwrap();
+    let _ = socket.set_nodelay(true);
+    let asked = format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+    let want = size_of(&path);
+    let mut buffer = BytesMut::with_capacity(256 * 1024);
+    let mut times = vec![];
+    while Instant::now() < until {
+        let began = Instant::now();
+        socket.write_all(asked.as_bytes()).await.unwrap();
+        buffer.clear();
+        let mut body: Option<usize> = None;
+        let mut got = 0;
+        while body.is_none_or(|end| got < end) {
+            if body.is_some() {
+                buffer.clear();
+            }
+            let n = socket.read_buf(&mut buffer).await.unwrap();
+            assert!(n > 0, "closed");
+            got += n;
+            if body.is_none() {
+                if let Some(at) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
+                    assert!(buffer.starts_with(b"HTTP/1.1 200"), "{:?}", &buffer[..40.min(buffer.len())]);
+                    body = Some(at + 4 + want);
+                }
+            }
+        }
+        times.push(began.elapsed().as_micros() as u64);
+    }
+    times
+}
+
+/// As many calls at once as the other loops have connections, all on one.
+async fn framed_loop(link: Link, path: String, until: Instant) -> Vec<u64> {
+    let mut times = vec![];
+    while Instant::now() < until {
+        let began = Instant::now();
+        let class = "page".into();
+        let head = RequestHead { object: path.clone(), class, left_us: 20_000_000, ..Default::default() };
+        let mut call = link.call(head).unwrap();
+        let mut got = 0;
+        loop {
+            match call.next().await {
+                Some(Part::Data(data)) => got += data.len(),
+                Some(Part::End(CallEnd::Complete(_))) => break,
+                Some(Part::Head(_)) => {}
+                other => panic!("{other:?}"),
+            }
+        }
+        assert_eq!(got, size_of(&path));
+        times.push(began.elapsed().as_micros() as u64);
+    }
+    times
+}
+
+async fn load(to: SocketAddr, framed: bool, path: &str, length: Duration) -> (f64, u64, u64, usize) {
+    let until = Instant::now() + length;
+    let began = Instant::now();
+    let mut loops = vec![];
+    let link = if framed {
+        let socket = TcpStream::connect(to).await.unwrap();
+        let (link, mut incoming) = Link::start(socket, Side::Caller, LinkOptions::default());
+        tokio::spawn(async move { while incoming.next().await.is_some() {} });
+        Some(link)
+    } else {
+        None
+    };
+    for _ in 0..CONNECTIONS {
+        let path = path.to_owned();
+        loops.push(match &link {
+            Some(link) => tokio::spawn(framed_loop(link.clone(), path, until)),
+            None => tokio::spawn(http_loop(to, path, until)),
+        });
+    }
+    let mut times = vec![];
+    for each in loops {
+        times.extend(each.await.unwrap());
+    }
+    let took = began.elapsed().as_secs_f64();
+    times.sort_unstable();
+    let at = |q: f64| times[((times.len() - 1) as f64 * q) as usize];
+    (times.len() as f64 / took, at(0.5), at(0.99), times.len())
+}
+
+/// One way: requests a second, p50 and p99, CPU a request of its middle.
+async fn row(name: &str, to: SocketAddr, framed: bool, middle: Option<&Process>, length: Duration) {
+    for path in ["/small", "/large"] {
+        load(to, framed, path, length / 4).await;
+        let before = middle.map(|p| usage(p).0);
+        let (rate, p50, p99, count) = load(to, framed, path, length).await;
+        let cpu =
+            middle.zip(before).map(|(p, before)| (usage(p).0 - before).as_micros() as f64 / count as f64);
+        let cpu = cpu.map_or("-".to_owned(), |us| format!("{us:.1}"));
+        println!("| {name} | {} | {rate:.0} | {p50} | {p99} | {cpu} |", &path[1..]);
+    }
+}
+
+async fn measure(length: Duration) {
+    let folder = tempfile::tempdir().unwrap();
+    let (http, member) = (start(&["http"]), start(&["framed"]));
+    let relay = start(&["relay", &http.at.to_string()]);
+    let framed_relay = start(&["relay", &member.at.to_string()]);
+    let hyper = start(&["hyper", &http.at.to_string()]);
+    let edge = dispatcher(member.at, folder.path());
+    println!(
+        "{CONNECTIONS} requests at once, {:.1} s a row; the middle has one worker thread\n",
+        length.as_secs_f64()
+    );
+    println!("| way | body | requests/s | p50 us | p99 us | CPU us a request |\n| --- | --- | --- | --- | --- | --- |");
+    row("HTTP straight", http.at, false, None, length).await;
+    row("HTTP, byte relay", relay.at, false, Some(&relay), length).await;
+    row("HTTP, hyper proxy", hyper.at, false, Some(&hyper), length).await;
+    row("HTTP, dispatcher", edge.at, false, Some(&edge), length).await;
+    row("framed straight", member.at, true, None, length).await;
+    row("framed, byte relay", framed_relay.at, true, Some(&framed_relay), length).await;
+    row("framed, dispatcher", edge.framed.unwrap(), true, Some(&edge), length).await;
+
+    println!("\n| idle connections | bytes each, program |\n| --- | --- |");
+    const IDLE: usize = 2_000;
+    for (name, at, process) in [
+        ("hyper proxy, HTTP", hyper.at, &hyper),
+        ("dispatcher, HTTP", edge.at, &edge),
+        ("dispatcher, framed", edge.framed.unwrap(), &edge),
+    ] {
+        let before = usage(process).1;
+        let mut held = vec![];
+        for _ in 0..IDLE {
+            held.push(TcpStream::connect(at).await.unwrap());
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let after = usage(process).1;
+        println!("| {name} | {} |", after.saturating_sub(before) / IDLE as u64);
+        drop(held);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let _ = Full::new(Bytes::new()).collect().await;
+}
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -58,6 +58,7 @@
         request: u64,
         attempt: u32,
         note: WireNote,
+        size: Option<u64>,
     },
     Ended {
         request: u64,
@@ -130,6 +131,7 @@
     sent: Micros,
     due: Micros,
     note: WireNote,
+    kb: Option<f64>,
 }
 
 #[derive(Debug, Default)]
@@ -214,10 +216,11 @@
                 };
                 self.drive(now, Event::Request(request), out);
             }
-            Input::Head { request, attempt, note } => {
+            Input::Head { request, attempt, note, size } => {
                 let Some(open) = self.open.get_mut(&request).filter(|o| !o.done) else { return };
                 let Some(sent) = open.out.as_mut().filter(|a| a.number == attempt) else { return };
                 sent.note = note;
+                sent.kb = size.map(|bytes| bytes as f64 / 1024.0);
                 let member = sent.member;
                 open.committed = true;
                 out.push(Output::Commit { request, attempt });
@@ -328,6 +331,7 @@
             status,
             note: note_of(note.unwrap_or(attempt.note)),
             elapsed: now.saturating_sub(attempt.sent),
+            kb: attempt.kb,
             closed: open.committed,
         }))
     }
@@ -381,7 +385,7 @@
         let open = self.open.get_mut(&request)?;
         let (number, due) = (open.attempts, now + timeout);
         open.attempts += 1;
-        open.out = Some(Attempt { number, member, sent: now, due, note: WireNote::Untold });
+        open.out = Some(Attempt { number, member, sent: now, due, note: WireNote::Untold, kb: None });
         let address = self.list.address(member);
         let source = fetch.as_ref().filter(|f| f.source != member).map(|f| self.list.address(f.source));
         // A member that the list no longer names, as receiver or source: nothing was sent.
--- a/crates/edge/src/net/exchange.rs
+++ b/crates/edge/src/net/exchange.rs
@@ -56,6 +56,8 @@
 }
 
 impl Fate {
+    pub const ALL: [Self; 5] = [Self::Served, Self::Refused, Self::Failed, Self::Broken, Self::ClientGone];
+
     pub fn word(self) -> &'static str {
         match self {
             Self::Served => "served",
@@ -187,9 +189,11 @@
                 Step::Call(Err(end)) => self.ended(current.take(), end),
                 Step::Part(Part::Head(head)) => {
                     if let Some(attempt) = &mut current {
-                        let note = head.note();
+                        let (note, number) = (head.note(), attempt.number);
+                        // What is not sent says nothing of what sending costs.
+                        let size = head.size.filter(|_| !head.not_modified && head.code == 0);
                         attempt.head = Some(head);
-                        self.hub.tell(Input::Head { request: self.id, attempt: attempt.number, note });
+                        self.hub.tell(Input::Head { request: self.id, attempt: number, note, size });
                     }
                 }
                 Step::Part(Part::Data(_)) => {}
--- a/crates/edge/src/net/metrics.rs
+++ b/crates/edge/src/net/metrics.rs
@@ -1,7 +1,7 @@
 //! Figures of a running dispatcher, scraped as text.
 use super::exchange::Fate;
 use super::Door;
-use pointspindle_config::EdgeSettings;
+use pointspindle_config::{ClassSpec, EdgeSettings};
 use pointspindle_wire::http::HttpAnswer;
 use prometheus_client::encoding::{text, EncodeLabelSet};
 use prometheus_client::metrics::counter::Counter;
@@ -29,14 +29,20 @@
     outcome: &'static str,
 }
 
+/// A class's figures, looked up once: a request must not pay for labels.
+#[derive(Debug)]
+struct ByClass {
+    /// By [`Fate`].
+    ends: [Counter; Fate::ALL.len()],
+    first: Histogram,
+    last: Histogram,
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
-    classes: Vec<String>,
-    requests: Family<ClassEnd, Counter>,
+    by_class: Vec<ByClass>,
     attempts: Family<AttemptEndLabel, Counter>,
-    first: Family<ClassOnly, Histogram, fn() -> Histogram>,
-    last: Family<ClassOnly, Histogram, fn() -> Histogram>,
     pub open: Gauge,
     pub connections: Gauge,
     pub members_connected: Gauge,
@@ -52,9 +58,9 @@
 impl Metrics {
     pub fn new(settings: &EdgeSettings) -> Self {
         let mut all = Registry::with_prefix("pointspindle");
-        let (requests, attempts) = (Family::default(), Family::default());
-        let first = Family::new_with_constructor(seconds as fn() -> Histogram);
-        let last = Family::new_with_constructor(seconds as fn() -> Histogram);
+        let (requests, attempts) = (Family::<ClassEnd, Counter>::default(), Family::default());
+        let first = Family::<ClassOnly, _, _>::new_with_constructor(seconds as fn() -> Histogram);
+        let last = Family::<ClassOnly, _, _>::new_with_constructor(seconds as fn() -> Histogram);
         let (open, connections) = (Gauge::default(), Gauge::default());
         let (members_connected, list): (Gauge, Gauge) = (Gauge::default(), Gauge::default());
         let purge_lag = Histogram::new(exponential_buckets(0.000_01, 4.0, 10));
@@ -83,14 +89,20 @@
             s,
             purge_lag.clone(),
         );
-        let classes = settings.classes.iter().map(|c| c.name.clone()).collect();
+        let by_class = |c: &ClassSpec| {
+            let class = c.name.clone();
+            let end = |fate: Fate| ClassEnd { class: class.clone(), outcome: fate.word() };
+            let only = ClassOnly { class: class.clone() };
+            ByClass {
+                ends: Fate::ALL.map(|fate| requests.get_or_create(&end(fate)).clone()),
+                first: first.get_or_create(&only).clone(),
+                last: last.get_or_create(&only).clone(),
+            }
+        };
         Self {
+            by_class: settings.classes.iter().map(by_class).collect(),
             registry: all,
-            classes,
-            requests,
             attempts,
-            first,
-            last,
             open,
             connections,
             members_connected,
@@ -99,18 +111,16 @@
         }
     }
 
-    fn class(&self, class: usize) -> ClassOnly {
-        ClassOnly { class: self.classes.get(class).cloned().unwrap_or_default() }
-    }
-
     pub fn request_ended(&self, class: usize, fate: Fate, took: Duration) {
-        let label = self.class(class);
-        self.last.get_or_create(&label).observe(took.as_secs_f64());
-        self.requests.get_or_create(&ClassEnd { class: label.class, outcome: fate.word() }).inc();
+        let Some(class) = self.by_class.get(class) else { return };
+        class.last.observe(took.as_secs_f64());
+        class.ends[fate as usize].inc();
     }
 
     pub fn first_byte(&self, class: usize, took: Duration) {
-        self.first.get_or_create(&self.class(class)).observe(took.as_secs_f64());
+        if let Some(class) = self.by_class.get(class) {
+            class.first.observe(took.as_secs_f64());
+        }
     }
 
     pub fn attempt_ended(&self, outcome: &'static str, count: u64) {
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -115,7 +115,7 @@
         let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
         let mut out = stage.to(T0 + 1_979 * MS);
         stage.now = T0 + 1_980 * MS;
-        let head = Input::Head { request: 1, attempt, note: WireNote::Hit };
+        let head = Input::Head { request: 1, attempt, note: WireNote::Hit, size: None };
         if answer_first {
             out.extend(stage.tell(head));
             out.extend(stage.tell(Input::Ended { request: 1, attempt, end: AttemptEnd::Complete }));
@@ -147,7 +147,10 @@
 fn a_break_after_the_first_byte_ends_the_request_as_broken_off() {
     let mut stage = Stage::new();
     let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
-    assert_eq!(finals(&stage.tell(Input::Head { request: 1, attempt, note: WireNote::Hit })), 1);
+    assert_eq!(
+        finals(&stage.tell(Input::Head { request: 1, attempt, note: WireNote::Hit, size: None })),
+        1
+    );
     let out = stage.tell(Input::Ended { request: 1, attempt, end: AttemptEnd::Broken });
     assert_eq!(out, [Output::Break { request: 1 }]);
     let late = stage.to(T0 + 3_000 * MS);
@@ -158,7 +161,7 @@
 fn a_client_that_leaves_while_its_answer_streams_ends_the_attempt_and_nothing_follows() {
     let mut stage = Stage::new();
     let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
-    stage.tell(Input::Head { request: 1, attempt, note: WireNote::Hit });
+    stage.tell(Input::Head { request: 1, attempt, note: WireNote::Hit, size: None });
     let out = stage.tell(Input::Gone(1));
     assert_eq!(out, [Output::Abort { request: 1, attempt }]);
     assert!(stage.to(T0 + 3_000 * MS).is_empty());
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -32,6 +32,8 @@
     /// Size of an answer: mean in bytes, and the spread of its logarithm.
     pub mean_bytes: f64,
     pub sigma: f64,
+    /// Brings the mean over the day's own requests to `mean_bytes`: a few popular objects decide it.
+    pub scale: f64,
     /// Objects, parts of each, and how uneven their popularity is.
     pub objects: u64,
     pub parts: u64,
@@ -138,7 +140,16 @@
 }
 
 pub fn parse(name: &str, text: &str, seed: Option<u64>) -> Result<Scenario, Complaints> {
-    read::read(name, text, seed)
+    let mut scenario = read::read(name, text, seed)?;
+    let calls = Traffic::draw(&scenario).calls;
+    for (n, class) in scenario.classes.iter_mut().enumerate() {
+        let usual = calls.iter().filter(|c| c.class == n && !c.object.contains('~'));
+        let (sum, count) = usual.fold((0, 0_u64), |(sum, count), c| (sum + c.size, count + 1));
+        if sum > 0 {
+            class.scale = class.mean_bytes * count as f64 / sum as f64;
+        }
+    }
+    Ok(scenario)
 }
 
 /// A number of one's own for each use of the seed.
@@ -268,5 +279,5 @@
     let drawn = LogNormal::new(mu, class.sigma).map_or(class.mean_bytes, |d| d.sample(&mut rng));
     let times: f64 = object.rsplit_once('~').and_then(|(_, n)| n.parse().ok()).unwrap_or(1.0);
     // One stamped line at least; the tail is cut so that no single draw fills a store.
-    (drawn.clamp(64.0, 30.0 * class.mean_bytes) * times) as u64
+    ((drawn * class.scale).clamp(64.0, 30.0 * class.mean_bytes) * times) as u64
 }
--- a/crates/lab/src/scenario/read.rs
+++ b/crates/lab/src/scenario/read.rs
@@ -180,6 +180,7 @@
         let class = ClassDay {
             share: d.share(&s, "share", 0.5),
             mean_bytes: d.num(&s, "mean_kb", 100.0, 0.1, 1e7) * 1024.0,
+            scale: 1.0,
             sigma: d.num(&s, "sigma", 0.8, 0.0, 3.0),
             objects: d.count(&s, "objects", 400, 1) as u64,
             parts: d.count(&s, "parts", 1, 1) as u64,
--- a/crates/link/src/tasks.rs
+++ b/crates/link/src/tasks.rs
@@ -2,22 +2,31 @@
 use crate::call::{Call, CallEnd, Part, Responder};
 use crate::credit::Credit;
 use crate::LinkError;
-use futures_util::{SinkExt, StreamExt};
+use bytes::{Buf, BytesMut};
+use futures_util::StreamExt;
 use pointspindle_wire::streams::*;
 use pointspindle_wire::*;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::{Encoder, FramedRead};
 
 /// Frames of bodies and answers that may wait for the writer; a sender waits beyond that.
 const WRITER_QUEUE: usize = 64;
 /// Requests and control frames of the peer that may wait to be taken; the reader waits beyond that.
 const INCOMING_QUEUE: usize = 64;
 /// Buffer of the writer before it waits for the socket.
-const WRITE_BUFFER: usize = 128 * 1024;
+const WRITE_BUFFER: usize = 64 * 1024;
+/// Bodies of at least this size are not copied on their way to the socket.
+const IN_PLACE: usize = 8 * 1024;
+/// A larger buffer is given back once it is empty.
+const KEPT_BUFFER: usize = 4 * 1024;
+/// While bodies stream in, so much room is held ready: several frames a read.
+const BULK: usize = 256 * 1024;
 /// Longest time for what is still queued when a connection is closed here.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
@@ -178,8 +187,7 @@
             closed: watch::channel(false).0,
             written: watch::channel(false).0,
         });
-        let mut frames = FramedWrite::new(write, FrameCodec::default());
-        frames.set_backpressure_boundary(WRITE_BUFFER);
+        let frames = Writer { socket: write, codec: FrameCodec::default(), buffer: BytesMut::new() };
         tokio::spawn(write_all(frames, queued, urgents, shared.clone()));
         let frames = FramedRead::new(read, FrameCodec::default());
         tokio::spawn(read_all(frames, incoming, shared.clone()));
@@ -252,8 +260,50 @@
     }
 }
 
-type Reader = FramedRead<tokio::net::tcp::OwnedReadHalf, FrameCodec>;
-type Writer = FramedWrite<tokio::net::tcp::OwnedWriteHalf, FrameCodec>;
+type Reader = FramedRead<OwnedReadHalf, FrameCodec>;
+
+/// The sending half: frames gather in a buffer until it is full or nothing waits; large bodies go to the socket
+/// from where they lie, behind what was gathered.
+struct Writer {
+    socket: OwnedWriteHalf,
+    codec: FrameCodec,
+    buffer: BytesMut,
+}
+
+impl Writer {
+    async fn feed(&mut self, frame: Frame) -> Result<(), FrameError> {
+        match frame {
+            Frame::Data(stream, body) if body.len() >= IN_PLACE => {
+                self.codec.encode_data_head(stream, body.len(), &mut self.buffer)?;
+                let mut both = std::mem::take(&mut self.buffer).chain(body);
+                self.socket.write_all_buf(&mut both).await?;
+                self.buffer = both.into_inner().0;
+                self.buffer.clear();
+                return Ok(());
+            }
+            frame => self.codec.encode(frame, &mut self.buffer)?,
+        }
+        if self.buffer.len() >= WRITE_BUFFER {
+            self.flush().await?;
+        }
+        Ok(())
+    }
+
+    async fn flush(&mut self) -> Result<(), FrameError> {
+        let written = self.socket.write_all_buf(&mut self.buffer).await;
+        self.buffer.clear();
+        if self.buffer.capacity() > KEPT_BUFFER {
+            // A burst must not stay with a connection that may idle for long.
+            self.buffer = BytesMut::new();
+        }
+        Ok(written?)
+    }
+
+    async fn close(&mut self) -> Result<(), FrameError> {
+        self.flush().await?;
+        Ok(self.socket.shutdown().await?)
+    }
+}
 
 async fn write_all(
     mut frames: Writer,
@@ -324,6 +374,10 @@
             Err(why) => break why,
         }
         unsorted += body;
+        let buffer = frames.read_buffer_mut();
+        if body as usize >= IN_PLACE && buffer.capacity() - buffer.len() < MAX_DATA {
+            buffer.reserve(BULK);
+        }
         if unsorted >= CONNECTION_WINDOW / 4 {
             shared.table().streams.give_back_connection(unsorted);
             shared.push(Out::Frame(Frame::Credit(0, unsorted)));
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -168,21 +168,38 @@
     if len > most(kind) {
         return Err(FrameError::TooLong { kind, len, most: most(kind) });
     }
-    dst.reserve(FRAME_HEAD + len);
+    dst.reserve(FRAME_HEAD);
     dst.put_u32(len as u32);
     dst.put_u8(kind);
     dst.put_u32(stream);
     Ok(())
 }
 
-impl Encoder<Frame> for FrameCodec {
-    type Error = FrameError;
+impl FrameCodec {
+    /// Writes all of a data frame but its body, for a sender that hands the body to the socket as it lies.
+    pub fn encode_data_head(
+        &mut self,
+        stream: u32,
+        body: usize,
+        dst: &mut BytesMut,
+    ) -> Result<(), FrameError> {
+        self.begin(dst);
+        head(kind::DATA, stream, body, dst)
+    }
 
-    fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<(), FrameError> {
+    fn begin(&mut self, dst: &mut BytesMut) {
         if !self.preface_sent {
             dst.put_slice(&PREFACE);
             self.preface_sent = true;
         }
+    }
+}
+
+impl Encoder<Frame> for FrameCodec {
+    type Error = FrameError;
+
+    fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<(), FrameError> {
+        self.begin(dst);
         let mut put = |kind: u8, stream: u32, message: &dyn Encodable| -> Result<(), FrameError> {
             head(kind, stream, message.length(), dst)?;
             message.put(dst);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -251,6 +251,8 @@
     pub note: Note,
     /// Since the send.
     pub elapsed: Micros,
+    /// Size of the answer, where it tells and the request did not.
+    pub kb: Option<f64>,
     /// The request is finished.
     pub closed: bool,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -487,10 +487,18 @@
                     m.health.pace += PACE_STEP * (pace - m.health.pace);
                 }
             }
-            // Quick answers only: slow ones would raise the mean and with it what counts as late.
+            // An answer that tells its size is learned from. Else quick ones only: slow ones would raise the mean
+            // and with it what counts as late. They leave the large objects out, so not where other requests tell
+            // their sizes: a cold member's budget would be charged too little (one door of two tells none).
             let quick = e.elapsed <= self.set.classes[class].aim;
-            if kb.is_none() && quick && matches!(e.note, Note::Hit | Note::Old | Note::Untold) {
-                self.learn(class, e.elapsed as f64 / 1e6);
+            match e.kb.filter(|_| self.set.stream_kb_per_s > 0.0) {
+                _ if kb.is_some() => {}
+                Some(size) => self.learn(class, size / self.set.stream_kb_per_s),
+                None if self.sizes_told || !quick => {}
+                None if matches!(e.note, Note::Hit | Note::Old | Note::Untold) => {
+                    self.learn(class, e.elapsed as f64 / 1e6);
+                }
+                None => {}
             }
         }
         let size = seconds * if kb.is_some() { 1.0 } else { UNTOLD_SIZE };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -144,6 +144,7 @@
             status,
             note,
             elapsed,
+            kb: None,
             closed: status == Status::Ok,
         }))
     }
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -160,6 +160,7 @@
         status,
         note,
         elapsed: 40 * MS,
+        kb: None,
         closed: w.finished,
     })
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -296,3 +296,46 @@
     assert_eq!(run(false), 3, "without a word it is silent");
     assert_eq!(run(true), 0);
 }
+
+/// Two doors, one of which tells sizes: quick answers to the other's requests are of small objects only, and a
+/// cold member charged by them was pushed over on an overloaded deploy day.
+#[test]
+fn where_some_sizes_are_told_the_untold_do_not_make_a_cold_member_look_cheap() {
+    let cold_sends = |untold: usize| {
+        let mut stage = Stage::new();
+        let told = |stage: &mut Stage, n: usize| stage.ask(VIDEO, &format!("told{n}"));
+        for n in 0..200 {
+            let sent = told(&mut stage, n);
+            stage.end(&sent[0], Status::Ok, Note::Hit);
+        }
+        for n in 0..untold {
+            let sent = stage.tell(Event::Request(Request {
+                id: RequestId(100_000 + n as u64),
+                class: VIDEO,
+                object: ObjectId::named(&format!("u{n}")),
+                part: 0,
+                group: 5,
+                left: 3 * S,
+                kb: None,
+            }));
+            stage.end_after(&sent[0], Status::Ok, Note::Hit, MS);
+        }
+        stage.now += 100 * S;
+        let now = stage.now;
+        stage.update(vec![MemberEntry { started: now, ..entry("c9", 0) }]);
+        let mut sends = 0;
+        for n in 0..400 {
+            let sent = told(&mut stage, 1_000 + n);
+            sends += sent.iter().filter(|s| s.member == MemberId::named("c9")).count();
+            for sent in sent {
+                stage.end(&sent, Status::Ok, Note::Hit);
+            }
+        }
+        sends
+    };
+    let (plain, mixed) = (cold_sends(0), cold_sends(500));
+    assert!(
+        plain > 0 && mixed <= plain + 2,
+        "{plain} sends to a cold cache, {mixed} after quick untold answers"
+    );
+}
--- a/wirehost/src/translate.rs
+++ b/wirehost/src/translate.rs
@@ -185,6 +185,7 @@
         status,
         note,
         elapsed: told(o.elapsed_ms),
+        kb: None,
         closed: o.over.unwrap_or_default(),
     }))
 }
