--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -314,6 +314,68 @@
     assert_eq!(status_of(&end), Some(WireStatus::Refused), "{end:?}");
 }
 
+/// A full queue of the kernel leaves a connect without any answer: as good as a host that is gone.
+#[tokio::test]
+async fn a_connect_that_hangs_is_given_up_and_the_client_answered() {
+    let folder = tempfile::tempdir().unwrap();
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let member = listener.local_addr().unwrap();
+    let mut held = vec![];
+    loop {
+        match tokio::time::timeout(Duration::from_millis(300), TcpStream::connect(member)).await {
+            Ok(Ok(stream)) => held.push(stream),
+            Ok(Err(e)) => panic!("refused: {e}"),
+            Err(_) => break,
+        }
+        assert!(held.len() < 1_000, "connects never hang here");
+    }
+    let file = settings(folder.path(), member, "");
+    let edge = Running::start(&["serve", &file], folder.path());
+    let (end, _) = framed(edge.bound.framed, 1_400).await;
+    assert_eq!(status_of(&end), Some(WireStatus::Refused), "{end:?}");
+    let metrics = text(&get(edge.bound.metrics, "/metrics", "").await.body);
+    assert!(metrics.contains("pointspindle_attempts_total{outcome=\"connect_failed\"}"), "{metrics}");
+}
+
+/// A client that reads nothing and gives no credit back: its own answer fails in time, others are served.
+#[tokio::test]
+async fn credit_that_is_never_returned_costs_nobody_else() {
+    use futures_util::SinkExt;
+    let folder = tempfile::tempdir().unwrap();
+    let fleet = Running::start(&["serve", "--port", "0"], folder.path());
+    let socket = TcpStream::connect(fleet.bound.framed).await.unwrap();
+    let mut frames = tokio_util::codec::Framed::new(socket, FrameCodec::default());
+    let ask = |object: &str, class: &str| RequestHead {
+        object: object.into(),
+        class: class.into(),
+        left_us: 900_000,
+        ..Default::default()
+    };
+    frames.send(Frame::Request(1, ask("/video/lesson-2", "lesson-video"))).await.unwrap();
+    for stream in 2..12 {
+        frames.send(Frame::Request(stream, ask("/page/welcome", "test-page"))).await.unwrap();
+    }
+    let (mut bytes, mut ended, mut slow) = (0, 0, None);
+    while slow.is_none() || ended < 10 {
+        match tokio::time::timeout(Duration::from_secs(10), frames.next()).await.expect("in time") {
+            Some(Ok(Frame::Data(1, data))) => bytes += data.len(),
+            Some(Ok(Frame::Error(1, e))) => slow = Some(e.status()),
+            Some(Ok(Frame::End(1, _))) => panic!("4 MiB without credit"),
+            Some(Ok(Frame::End(..))) => ended += 1,
+            Some(Ok(_)) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(slow, Some(WireStatus::Failed));
+    assert_eq!(
+        bytes,
+        pointspindle_wire::streams::STREAM_WINDOW as usize,
+        "no more than its window was sent"
+    );
+}
+
 /// A client must be able to tell half a file from a file, on both protocols.
 #[tokio::test]
 async fn an_answer_that_breaks_off_differs_from_one_that_ends() {
--- a/crates/lab/src/model/cold.rs
+++ b/crates/lab/src/model/cold.rs
@@ -28,6 +28,9 @@
     }
 }
 
+/// The whole budget: sums of many small parts differ in their last digits.
+pub const EXACTLY: f64 = 1.0 + 1e-9;
+
 /// What a member was sent lately. Holds one window's entries.
 #[derive(Debug, Default)]
 pub struct Spent {
