--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -3,7 +3,9 @@
 use pointspindle_lab::audit::Rule;
 use pointspindle_lab::day::{self, Outcome, Plant};
 use pointspindle_lab::import;
+use pointspindle_lab::record::{trail, Sight, TryId};
 use pointspindle_lab::scenario::{self, Scenario};
+use pointspindle_lab::virt;
 use std::path::PathBuf;
 
 #[derive(clap::Subcommand)]
@@ -37,6 +39,12 @@
     /// Break one rule around an unchanged dispatcher: the auditor must find it.
     #[arg(long, value_parser = plant)]
     plant: Option<Plant>,
+    /// Show everything that happened to a request of the run, such as c12.0, in order.
+    #[arg(long)]
+    explain: Option<String>,
+    /// In virtual time: the dispatchers' cores against the model, without sockets; the same for the same seed.
+    #[arg(long = "virtual")]
+    virtual_time: bool,
     /// Where settings, states and logs of the dispatchers go; a temporary folder by default.
     #[arg(long)]
     folder: Option<PathBuf>,
@@ -88,8 +96,11 @@
         }
         scenario = scenario.scaled(seconds);
     }
+    if arguments.virtual_time {
+        return play_virtual(&arguments, &scenario);
+    }
     let program = std::env::current_exe()?;
-    let (folder, temporary) = match arguments.folder {
+    let (folder, temporary) = match arguments.folder.clone() {
         Some(folder) => (folder, false),
         None => (std::env::temp_dir().join(format!("pointspindle-lab-{}", std::process::id())), true),
     };
@@ -104,6 +115,7 @@
         let _ = std::fs::remove_dir_all(&folder);
     }
     let outcome = outcome?;
+    explain(&arguments, &outcome.sights)?;
     if arguments.json {
         println!("{}", json(&scenario, &outcome));
     } else {
@@ -115,6 +127,43 @@
     Ok(())
 }
 
+fn explain(arguments: &RunArguments, sights: &[Sight]) -> Result<(), Failure> {
+    let Some(wanted) = &arguments.explain else { return Ok(()) };
+    let id = TryId::parse(wanted).ok_or(format!("{wanted} names no request; one is called c12.0"))?;
+    for sight in trail(sights, id.call) {
+        println!("{:>10.1} ms  {:?}", sight.at as f64 / 1e3, sight.saw);
+    }
+    Ok(())
+}
+
+fn play_virtual(arguments: &RunArguments, scenario: &Scenario) -> Result<(), Failure> {
+    if matches!(arguments.plant, Some(Plant::Double | Plant::Silent | Plant::Late)) {
+        return Err(Failure::CannotRun(
+            "this plant is a relay between sockets; leave --virtual out".into(),
+        ));
+    }
+    let run = virt::run(scenario, arguments.plant).map_err(Failure::CannotRun)?;
+    let cost = run.cost;
+    explain(arguments, &run.sights)?;
+    let outcome = Outcome { service: run.service, rules: run.rules, sights: run.sights, rig_late_ms: 0.0 };
+    if arguments.json {
+        println!("{}", json(scenario, &outcome));
+    } else {
+        print(scenario, &outcome);
+        println!(
+            "  {} events in {:.1} s, {:.0} a second; {:.1} us a call of a core",
+            cost.events,
+            cost.wall_s,
+            cost.events as f64 / cost.wall_s,
+            cost.core_s * 1e6 / cost.core_calls.max(1) as f64
+        );
+    }
+    if outcome.rules.iter().any(|r| !r.breaches.is_empty()) {
+        return Err(Failure::No);
+    }
+    Ok(())
+}
+
 fn json(scenario: &Scenario, outcome: &Outcome) -> String {
     let rule = |r: &Rule| {
         serde_json::json!({
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -299,12 +299,9 @@
         if !self.is_out(request, attempt) {
             return;
         }
-        let Some(open) = self.open.get_mut(&request) else { return };
-        if open.committed && !open.done {
-            open.done = true;
-            if status != Status::Ok {
-                out.push(Output::Break { request });
-            }
+        match self.open.get_mut(&request) {
+            Some(open) if open.committed && status == Status::Ok => open.done = true,
+            _ => self.break_if_passed_on(request, out),
         }
         if let Some(event) = self.outcome(now, request, status, note) {
             self.drive(now, event, out);
@@ -312,6 +309,16 @@
         self.forget_if_over(request);
     }
 
+    /// An answer whose head was passed on cannot be had elsewhere: whatever ends its attempt early, be it a member
+    /// that hangs in mid-body and is given up with all that it holds, breaks the answer off.
+    fn break_if_passed_on(&mut self, request: u64, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        if open.committed && !open.done {
+            open.done = true;
+            out.push(Output::Break { request });
+        }
+    }
+
     /// Takes the attempt off the table and words its end for the router.
     fn outcome(
         &mut self,
@@ -350,6 +357,7 @@
                     Action::Cancel { request, attempt } => {
                         if self.is_out(request.0, attempt) {
                             out.push(Output::Abort { request: request.0, attempt });
+                            self.break_if_passed_on(request.0, out);
                             events.extend(self.outcome(now, request.0, Status::Cancelled, None));
                             self.forget_if_over(request.0);
                         }
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -157,6 +157,26 @@
     assert!(late.is_empty(), "{late:?}");
 }
 
+/// Found in virtual time: a member hangs in mid-body, others sent to it are overdue, and it is given up with all that
+/// it holds. The answer that had begun must end too, or its client waits for ever.
+#[test]
+fn an_answer_under_way_at_a_member_that_is_given_up_is_broken_off() {
+    let mut stage = Stage::new();
+    stage.list(ListForm::Delta, 2, vec![line("127.0.0.1:2", "cache", WireState::Gone)]);
+    let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+    stage.now += MS;
+    stage.tell(Input::Head { request: 1, attempt, note: WireNote::Hit, size: None });
+    stage.now += MS;
+    for id in 2..5 {
+        assert_eq!(sent(&stage.ask(id, 0)).unwrap().1, "127.0.0.1:1");
+    }
+    let out = stage.to(T0 + 1_800 * MS);
+    let given_up = out.iter().position(|o| *o == Output::Abort { request: 1, attempt }).expect("given up");
+    assert_eq!(out[given_up + 1], Output::Break { request: 1 });
+    stage.to(T0 + 3_000 * MS);
+    assert_eq!(stage.core.open_requests(), 0);
+}
+
 #[test]
 fn a_client_that_leaves_while_its_answer_streams_ends_the_attempt_and_nothing_follows() {
     let mut stage = Stage::new();
--- a/crates/lab/src/day/mod.rs
+++ b/crates/lab/src/day/mod.rs
@@ -4,7 +4,7 @@
 mod http_client;
 mod process;
 mod relay;
-mod settings;
+pub(crate) mod settings;
 
 use crate::audit::{self, service::Service, Rule};
 use crate::book::{Book, Line};
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod record;
 pub mod scenario;
 pub mod sockets;
+pub mod virt;
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -177,3 +177,36 @@
         sights
     }
 }
+
+impl Saw {
+    /// The try that a sight is about.
+    pub fn id(&self) -> Option<TryId> {
+        match self {
+            Self::Asked { id, .. } | Self::Ended { id, .. } | Self::Extra { id } => Some(*id),
+            Self::Reached { id, .. } | Self::Gone { id, .. } => *id,
+            _ => None,
+        }
+    }
+}
+
+/// Everything that happened to a call, in order, with what happened to the members that its attempts reached.
+pub fn trail(sights: &[Sight], call: u64) -> Vec<&Sight> {
+    let mine = |s: &Sight| s.saw.id().is_some_and(|id| id.call == call);
+    let span =
+        sights.iter().filter(|s| mine(s)).fold((Micros::MAX, 0), |(a, b), s| (a.min(s.at), b.max(s.at)));
+    let reached = |s: &Sight| match &s.saw {
+        Saw::Reached { host, .. } if mine(s) => Some(host.clone()),
+        _ => None,
+    };
+    let hosts: std::collections::BTreeSet<String> = sights.iter().filter_map(reached).collect();
+    let about = |s: &Sight| match &s.saw {
+        Saw::Fell { host, .. } | Saw::Started { host, .. } => hosts.contains(host),
+        Saw::ToldList { ready, out, whole: false, .. } => {
+            ready.iter().chain(out).any(|h| hosts.contains(h))
+        }
+        Saw::Killed { .. } | Saw::Born { .. } | Saw::Trouble { .. } => true,
+        _ => false,
+    };
+    let near = |s: &Sight| s.at + 2_000_000 >= span.0 && s.at <= span.1 + 500_000;
+    sights.iter().filter(|s| mine(s) || (near(s) && about(s))).collect()
+}
--- /dev/null
+++ b/crates/lab/src/virt/sim.rs
@@ -0,0 +1,707 @@
+//! The event loop: clients, dispatchers' cores, the world, control and the script.
+use super::links::{Links, Owner};
+use super::queue::Queue;
+use super::Cost;
+use crate::book::{Book, Line, Told};
+use crate::day::settings::{ini, Doors};
+use crate::day::{drop_delay, Plant};
+use crate::model::{Answer, Fault, HostId, HostSpec, In, JobId, Out, Role, SourceEnd, Wanted, World};
+use crate::record::{End, Left, Saw, Sight, TryId};
+use crate::scenario::script::{purge_groups, Listed};
+use crate::scenario::{stream, Call, Effect, Scenario, Script, Step, Traffic};
+use pointspindle::{Micros, ObjectId};
+use pointspindle_config::EdgeSettings;
+use pointspindle_edge::core::AttemptEnd;
+use pointspindle_edge::{Ask, Core, Input, Output};
+use pointspindle_wire::*;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// The model's clock at the day's first moment: members may have started before it.
+const EPOCH: Micros = 1_000_000_000_000;
+/// A client goes on listening so long after its deadline.
+const AFTER: Micros = 1_000_000;
+/// From a client to its dispatcher, one way.
+const CLIENT_WAY: Micros = 500;
+
+enum Event {
+    Call(usize),
+    /// A try's turn to be sent.
+    Try(TryId),
+    Asked(TryId),
+    Leave(TryId),
+    ClientEnd(TryId, End),
+    Patience(TryId),
+    Arrive(JobId, Wanted),
+    Cancel(JobId),
+    Head(JobId, Answer),
+    Over(JobId, Ending),
+    Step(usize),
+    DropCopies {
+        host: HostId,
+        object: Option<u64>,
+        group: u64,
+        at: Micros,
+    },
+}
+
+/// How a member's part of a job ended.
+enum Ending {
+    Finish,
+    Reject { status: WireStatus, note: WireNote, ran: bool },
+    Broken,
+    Refused,
+}
+
+struct Dispatcher {
+    core: Core,
+    life: u32,
+    up: bool,
+    settings: EdgeSettings,
+    next: u64,
+    /// Open requests and whose they are.
+    open: HashMap<u64, TryId>,
+    /// The answer that is being passed on: its version and bytes, and whether it is old.
+    passing: HashMap<u64, (u64, u64, bool)>,
+    heads: HashMap<u64, (u64, u64, bool)>,
+    timer: Option<Micros>,
+}
+
+/// A try that its client still waits for.
+struct Waiting {
+    dispatcher: usize,
+    request: Option<u64>,
+}
+
+pub struct Sim<'a> {
+    s: &'a Scenario,
+    calls: &'a [Call],
+    plant: Option<Plant>,
+    world: World,
+    book: Book,
+    script: Script,
+    dispatchers: Vec<Dispatcher>,
+    links: Links,
+    queue: Queue<Event>,
+    waiting: HashMap<TryId, Waiting>,
+    sights: Vec<Sight>,
+    now: Micros,
+    /// By member: kind, zone's name, weight, zone.
+    members: Vec<(String, String, f64, usize)>,
+    addresses: Vec<String>,
+    world_timer: Option<Micros>,
+    cost: Cost,
+    out: Vec<Out>,
+}
+
+impl<'a> Sim<'a> {
+    pub fn new(s: &'a Scenario, traffic: &'a Traffic, plant: Option<Plant>) -> Result<Self, String> {
+        let address = |n: usize| format!("10.{}.{}.{}:80", n / 62_500, n / 250 % 250, n % 250 + 1);
+        let hosts = s.hosts(address);
+        let script = Script::write(s, &hosts, address);
+        let mut world = World::new(s.world_spec(), hosts.clone(), s.catalogue(), stream(s.seed, "world"));
+        for newcomer in &script.newcomers {
+            world.add(newcomer.clone());
+        }
+        let zones = s.zones();
+        let line = |h: &HostSpec| (h.role.word().to_owned(), zones[h.zone].clone(), h.weight, h.zone);
+        let all: Vec<HostSpec> = hosts.iter().chain(&script.newcomers).cloned().collect();
+        let book = Book::new(s.rules, &hosts, s.dispatcher_count(), s.seed);
+        let mut sim = Self {
+            s,
+            calls: &traffic.calls,
+            plant,
+            world,
+            book,
+            dispatchers: Vec::new(),
+            links: Links::default(),
+            queue: Queue::default(),
+            waiting: HashMap::new(),
+            sights: Vec::new(),
+            now: 0,
+            members: all.iter().map(line).collect(),
+            addresses: all.iter().map(|h| h.address.clone()).collect(),
+            world_timer: None,
+            cost: Cost::default(),
+            out: Vec::new(),
+            script,
+        };
+        for h in &all {
+            let (host, role) = (h.address.clone(), h.role);
+            sim.saw(Saw::Member { host, role, zone: h.zone, weight: h.weight });
+        }
+        for n in 0..s.dispatcher_count() {
+            let any = "127.0.0.1:0".parse().expect("an address");
+            let doors = Doors { http: any, framed: any, control: any, metrics: any };
+            let text = ini(s, n, &doors, "127.0.0.1", std::path::Path::new(""));
+            let settings = pointspindle_config::parse("the scenario", &text).map_err(|e| e.to_string())?;
+            let core = Core::new(&settings, stream(s.seed, &format!("core {n}")));
+            let (open, passing, heads) = Default::default();
+            let life = 0;
+            let d =
+                Dispatcher { core, life, up: true, settings, next: 0, open, passing, heads, timer: None };
+            sim.dispatchers.push(d);
+            sim.book.hear(0, n);
+        }
+        for (n, call) in sim.calls.iter().enumerate() {
+            sim.queue.plan(call.at, Event::Call(n));
+        }
+        for n in 0..sim.script.steps.len() {
+            sim.queue.plan(sim.script.steps[n].0, Event::Step(n));
+        }
+        Ok(sim)
+    }
+
+    fn saw(&mut self, saw: Saw) {
+        self.sights.push(Sight { at: self.now, saw });
+    }
+
+    pub fn finish(self) -> (Vec<Sight>, Vec<(String, u32)>, Cost) {
+        let mut effects: Vec<(String, u32)> =
+            self.world.effects().iter().map(|(work, n)| (work.to_string(), *n)).collect();
+        effects.sort();
+        (self.sights, effects, Cost { events: self.queue.planned() + self.cost.core_calls, ..self.cost })
+    }
+
+    /// Until nothing is planned and no client waits.
+    pub fn run(&mut self) {
+        loop {
+            let timer = self.dispatchers.iter().filter_map(|d| d.timer).min();
+            let moments = [self.queue.next_at(), self.world_timer, timer, self.book.next()];
+            let Some(at) = moments.into_iter().flatten().min() else { break };
+            // Timers of idle dispatchers and warming members go on for ever: the day ends with its clients.
+            if self.queue.next_at().is_none() && self.waiting.is_empty() {
+                break;
+            }
+            self.now = at.max(self.now);
+            for (dispatcher, told) in self.book.due(self.now) {
+                self.told(dispatcher, told);
+            }
+            if self.world_timer.is_some_and(|t| t <= self.now) {
+                self.tell_world(In::Tick);
+            }
+            if timer.is_some_and(|t| t <= self.now) {
+                for n in 0..self.dispatchers.len() {
+                    if self.dispatchers[n].timer.is_some_and(|t| t <= self.now) {
+                        self.tell_core(n, Input::Tick);
+                    }
+                }
+            }
+            while self.queue.next_at().is_some_and(|t| t <= self.now) {
+                let Some((_, event)) = self.queue.pop() else { break };
+                self.event(event);
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Call(n) => self.try_call(TryId { call: n as u64, try_no: 0 }),
+            Event::Try(id) => self.try_call(id),
+            Event::Asked(id) => self.asked(id),
+            Event::Leave(id) => {
+                if let Some(waiting) = self.waiting.remove(&id) {
+                    self.saw(Saw::Ended { id, end: End::LeftEarly });
+                    self.gone(&waiting);
+                }
+            }
+            Event::Patience(id) => {
+                // Nothing came: silent. The client hangs up.
+                if let Some(waiting) = self.waiting.remove(&id) {
+                    self.gone(&waiting);
+                }
+            }
+            Event::ClientEnd(id, end) => self.client_end(id, end),
+            Event::Arrive(job, wanted) => self.arrive(job, wanted),
+            Event::Cancel(job) => {
+                let Some(found) = self.links.close(job) else { return };
+                self.left(&found, Left::Cancelled);
+                self.tell_world(In::Cancel { host: found.host, job });
+            }
+            Event::Head(job, answer) => self.head(job, answer),
+            Event::Over(job, ending) => self.over(job, ending),
+            Event::Step(n) => self.step(n),
+            Event::DropCopies { host, object, group, at } => {
+                self.tell_world(In::Purge { host, object, group, at: EPOCH + at });
+            }
+        }
+    }
+
+    // ---- clients
+
+    fn target(&self, call: &Call, id: TryId) -> usize {
+        let per = self.s.dispatchers;
+        call.branch * per + (id.call as usize + id.try_no as usize) % per
+    }
+
+    fn try_call(&mut self, id: TryId) {
+        let call = &self.calls[id.call as usize];
+        let dispatcher = self.target(call, id);
+        if !self.dispatchers[dispatcher].up {
+            return self.again(id, None);
+        }
+        let class = &self.s.classes[call.class];
+        let deadline = self.now + class.deadline;
+        let (number, group, part) = (call.number, call.group, call.part);
+        self.saw(Saw::Asked { id, dispatcher, class: call.class, number, group, part, deadline });
+        self.waiting.insert(id, Waiting { dispatcher, request: None });
+        self.queue.plan(self.now + CLIENT_WAY, Event::Asked(id));
+        self.queue.plan(deadline + AFTER, Event::Patience(id));
+        if let Some(leaves) = call.leaves.filter(|_| id.try_no == 0) {
+            self.queue.plan(self.now + leaves, Event::Leave(id));
+        }
+    }
+
+    fn asked(&mut self, id: TryId) {
+        let Some(waiting) = self.waiting.get_mut(&id) else { return };
+        let dispatcher = waiting.dispatcher;
+        let d = &mut self.dispatchers[dispatcher];
+        if !d.up {
+            return;
+        }
+        d.next += 1;
+        let request = d.next;
+        waiting.request = Some(request);
+        d.open.insert(request, id);
+        let call = &self.calls[id.call as usize];
+        // HTTP tells no sizes.
+        let size = (self.s.sizes_told && !call.http).then_some(call.size);
+        let ask = Ask {
+            class: call.class,
+            object: call.object.clone(),
+            part: call.part,
+            group: call.group,
+            left: self.s.classes[call.class].deadline,
+            size,
+        };
+        self.tell_core(dispatcher, Input::Request(request, ask));
+    }
+
+    fn gone(&mut self, waiting: &Waiting) {
+        if let Some(request) = waiting.request {
+            self.dispatchers[waiting.dispatcher].open.remove(&request);
+            self.dispatchers[waiting.dispatcher].passing.remove(&request);
+            self.tell_core(waiting.dispatcher, Input::Gone(request));
+        }
+    }
+
+    fn client_end(&mut self, id: TryId, end: End) {
+        if self.waiting.remove(&id).is_none() {
+            return;
+        }
+        self.saw(Saw::Ended { id, end: end.clone() });
+        let call = &self.calls[id.call as usize];
+        let safe = self.s.classes[call.class].effect == Effect::Safe;
+        match end {
+            End::Refused { come_back } => self.again(id, come_back.filter(|_| call.honours)),
+            End::Failed | End::Broken | End::Lost if safe => self.again(id, None),
+            _ => {}
+        }
+    }
+
+    /// The client's next try, if it has one left.
+    fn again(&mut self, id: TryId, come_back: Option<Micros>) {
+        if id.try_no >= self.s.clients.retries {
+            return;
+        }
+        let call = &self.calls[id.call as usize];
+        let back_off = (self.s.clients.back_off << id.try_no) as f64 * (0.5 + call.dice);
+        let wait = (back_off as Micros).max(come_back.unwrap_or(0));
+        let next = TryId { try_no: id.try_no + 1, ..id };
+        self.queue.plan(self.now + wait, Event::Try(next));
+    }
+
+    // ---- dispatchers
+
+    fn tell_core(&mut self, n: usize, input: Input) {
+        let mut out = Vec::new();
+        let now = EPOCH + self.now;
+        let d = &mut self.dispatchers[n];
+        if !d.up {
+            return;
+        }
+        let began = std::time::Instant::now();
+        d.core.handle(now, input, &mut out);
+        self.cost.core_s += began.elapsed().as_secs_f64();
+        self.cost.core_calls += 1;
+        d.timer = d.core.next_timer().map(|at| at - EPOCH);
+        for output in out {
+            self.output(n, output);
+        }
+    }
+
+    fn output(&mut self, n: usize, output: Output) {
+        let life = self.dispatchers[n].life;
+        match output {
+            Output::Send { request, attempt, member, fetch, .. } => {
+                let Some(id) = self.dispatchers[n].open.get(&request).copied() else { return };
+                let Some(host) = self.world.host_of(&member) else { return };
+                let owner = Owner::Attempt { dispatcher: n, life, request, attempt, id };
+                let call = &self.calls[id.call as usize];
+                let plain = fetch.is_none();
+                let fetch = fetch.unwrap_or(pointspindle_edge::core::FetchOrder {
+                    source: None,
+                    keep: 0,
+                    age: 0,
+                    join: false,
+                    held_only: true,
+                    renew: false,
+                });
+                let safe = self.s.classes[call.class].effect == Effect::Safe;
+                let wanted = Wanted {
+                    object: Arc::from(call.object.as_str()),
+                    number: call.number,
+                    part: call.part,
+                    group: call.group,
+                    class: call.class,
+                    source: fetch.source,
+                    keep: fetch.keep,
+                    age: if self.plant == Some(Plant::Purge) { u64::MAX / 2 } else { fetch.age },
+                    join: fetch.join,
+                    held_only: fetch.held_only && (safe || !plain),
+                    renew: fetch.renew,
+                    holds: None,
+                    key: Arc::from(if safe { String::new() } else { id.trace() }),
+                    trace: Arc::from(id.trace()),
+                    attempt,
+                };
+                let job = self.links.open(host, owner);
+                let way = self.way_of(&owner, host);
+                self.queue.plan(self.now + way, Event::Arrive(job, wanted));
+            }
+            Output::Abort { request, attempt } => {
+                if let Some(job) = self.links.of_attempt(n, life, request, attempt) {
+                    self.cancel(job);
+                }
+            }
+            Output::Commit { request, .. } => {
+                let d = &mut self.dispatchers[n];
+                if let Some(head) = d.heads.remove(&request) {
+                    d.passing.insert(request, head);
+                }
+            }
+            Output::Refuse { request, retry_after } => {
+                self.answer(n, request, End::Refused { come_back: retry_after });
+            }
+            Output::Fail { request } => self.answer(n, request, End::Failed),
+            Output::Break { request } => self.answer(n, request, End::Broken),
+            Output::List(_) => {}
+        }
+    }
+
+    /// A final answer leaves for the client.
+    fn answer(&mut self, n: usize, request: u64, end: End) {
+        let d = &mut self.dispatchers[n];
+        d.passing.remove(&request);
+        d.heads.remove(&request);
+        if let Some(id) = d.open.remove(&request) {
+            self.queue.plan(self.now + CLIENT_WAY, Event::ClientEnd(id, end));
+        }
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.saw(Saw::Killed { dispatcher: n });
+        self.book.deafen(n);
+        let life = self.dispatchers[n].life;
+        let d = &mut self.dispatchers[n];
+        (d.up, d.timer) = (false, None);
+        let open = std::mem::take(&mut d.open);
+        d.passing.clear();
+        d.heads.clear();
+        let mut lost: Vec<TryId> = open.into_values().collect();
+        let sent = self.waiting.iter().filter(|(_, w)| w.dispatcher == n && w.request.is_none());
+        lost.extend(sent.map(|(id, _)| *id));
+        lost.sort_unstable();
+        for id in lost {
+            self.queue.plan(self.now + CLIENT_WAY, Event::ClientEnd(id, End::Lost));
+        }
+        let mine = |j: &super::links::Job| matches!(j.owner, Owner::Attempt { dispatcher, life: l, .. } if dispatcher == n && l == life);
+        for job in self.links.all(mine) {
+            self.cancel(job);
+        }
+    }
+
+    fn revive(&mut self, n: usize) {
+        let d = &mut self.dispatchers[n];
+        d.life += 1;
+        d.up = true;
+        let seed = stream(self.s.seed, &format!("core {n} life {}", d.life));
+        d.core = Core::new(&d.settings, seed);
+        self.book.hear(self.now, n);
+        self.saw(Saw::Born { dispatcher: n });
+    }
+
+    // ---- members
+
+    fn zone_of(&self, owner: &Owner) -> usize {
+        match owner {
+            Owner::Attempt { dispatcher, .. } => self.s.branch_of_dispatcher(*dispatcher),
+            Owner::Fill { host, .. } => self.members[*host].3,
+        }
+    }
+
+    fn way_of(&self, owner: &Owner, host: HostId) -> Micros {
+        self.s.way(self.zone_of(owner), self.members[host].3)
+    }
+
+    /// A word of its owner to stop travels to the member.
+    fn cancel(&mut self, job: JobId) {
+        let Some(found) = self.links.get(job).copied() else { return };
+        let way = self.way_of(&found.owner, found.host);
+        self.queue.plan(self.now + way, Event::Cancel(job));
+    }
+
+    fn arrive(&mut self, job: JobId, wanted: Wanted) {
+        let Some(found) = self.links.get(job) else { return };
+        let (host, owner) = (found.host, found.owner);
+        if !self.world.is_up(host) {
+            let way = self.way_of(&owner, host);
+            self.queue.plan(self.now + way, Event::Over(job, Ending::Refused));
+            return;
+        }
+        found.reached = true;
+        let (by, id) = match owner {
+            Owner::Attempt { dispatcher, id, .. } => (Some(dispatcher), Some(id)),
+            Owner::Fill { id, .. } => (None, id),
+        };
+        let address = self.address(host);
+        let (source, class) = (wanted.source.clone(), wanted.class);
+        self.saw(Saw::Reached { host: address, by, id, attempt: wanted.attempt, source, class });
+        self.tell_world(In::Arrive { host, job, wanted });
+    }
+
+    fn address(&self, host: HostId) -> String {
+        self.addresses[host].clone()
+    }
+
+    fn left(&mut self, job: &super::links::Job, how: Left) {
+        if !job.reached {
+            return;
+        }
+        let (by, id, attempt) = match job.owner {
+            Owner::Attempt { dispatcher, id, attempt, .. } => (Some(dispatcher), Some(id), attempt),
+            Owner::Fill { id, .. } => (None, id, 0),
+        };
+        let host = self.address(job.host);
+        self.saw(Saw::Gone { host, id, attempt, by, how });
+    }
+
+    fn tell_world(&mut self, input: In) {
+        let mut out = std::mem::take(&mut self.out);
+        self.world.handle(EPOCH + self.now, input, &mut out);
+        let wishes = std::mem::take(&mut out);
+        self.out = out;
+        for wish in wishes {
+            self.wish(wish);
+        }
+        self.world_timer = self.world.next_timer().map(|at| at.saturating_sub(EPOCH));
+    }
+
+    fn wish(&mut self, wish: Out) {
+        match wish {
+            Out::Start { job, answer, .. } => {
+                let Some(found) = self.links.get(job).copied() else { return };
+                let way = self.way_of(&found.owner, found.host);
+                self.queue.plan(self.now + way, Event::Head(job, answer));
+            }
+            Out::Finish { job, .. } => self.ending(job, Ending::Finish, Left::Answered),
+            Out::Reject { job, status, note, may_have_run, .. } => {
+                let ending = Ending::Reject { status, note, ran: may_have_run };
+                self.ending(job, ending, Left::Answered);
+            }
+            Out::Cut { job, .. } => self.ending(job, Ending::Broken, Left::Lost),
+            Out::Down { host, why } => {
+                let address = self.address(host);
+                self.saw(Saw::Fell { host: address, why: why.into() });
+                for job in self.links.all(|j| j.host == host && j.reached) {
+                    self.ending(job, Ending::Broken, Left::Lost);
+                }
+            }
+            Out::Up { host } => {
+                let address = self.address(host);
+                self.saw(Saw::Started { host: address, cold: true });
+            }
+            Out::Fill { host, fill, source, wanted } => {
+                let id = TryId::parse(&wanted.trace);
+                let start = self.world.start(host).0;
+                // Nobody of that name: the fill runs out of time, as it would with a wrong address.
+                let Some(at) = self.world.host_of(&source) else { return };
+                let owner = Owner::Fill { host, start, fill, id };
+                let job = self.links.open(at, owner);
+                let way = self.way_of(&owner, at);
+                self.queue.plan(self.now + way, Event::Arrive(job, wanted));
+            }
+            Out::DropFill { fill, .. } => {
+                if let Some(job) = self.links.of_fill(fill) {
+                    self.cancel(job);
+                }
+            }
+        }
+    }
+
+    /// The member is done with a job; its word travels to the owner.
+    fn ending(&mut self, job: JobId, ending: Ending, how: Left) {
+        let Some(found) = self.links.get(job) else { return };
+        let seen = *found;
+        found.reached = false;
+        self.left(&seen, how);
+        let way = self.way_of(&seen.owner, seen.host);
+        self.queue.plan(self.now + way, Event::Over(job, ending));
+    }
+
+    fn head(&mut self, job: JobId, answer: Answer) {
+        let Some(found) = self.links.get(job).copied() else { return };
+        match found.owner {
+            Owner::Attempt { dispatcher, life, request, attempt, .. } => {
+                let d = &mut self.dispatchers[dispatcher];
+                if d.life != life {
+                    return;
+                }
+                let old = answer.note == WireNote::Old;
+                d.heads.insert(request, (answer.copy.version, answer.copy.size, old));
+                let (note, size) = (answer.note, Some(answer.copy.size));
+                self.tell_core(dispatcher, Input::Head { request, attempt, note, size });
+            }
+            Owner::Fill { host, start, fill, .. } => {
+                if self.world.start(host).0 == start {
+                    self.tell_world(In::SourceHead { host, fill, answer });
+                }
+            }
+        }
+    }
+
+    fn over(&mut self, job: JobId, ending: Ending) {
+        let Some(found) = self.links.close(job) else { return };
+        match found.owner {
+            Owner::Attempt { dispatcher, life, request, attempt, .. } => {
+                if self.dispatchers[dispatcher].life != life {
+                    return;
+                }
+                let end = match ending {
+                    Ending::Finish => AttemptEnd::Complete,
+                    Ending::Reject { status, note, ran } => {
+                        AttemptEnd::Told { status, note, may_have_run: ran }
+                    }
+                    Ending::Broken => AttemptEnd::Broken,
+                    Ending::Refused => AttemptEnd::ConnectFailed,
+                };
+                if end == AttemptEnd::Complete {
+                    if let Some((version, bytes, old)) =
+                        self.dispatchers[dispatcher].passing.remove(&request)
+                    {
+                        let end = End::Served { version: Some(version), bytes, old };
+                        self.answer(dispatcher, request, end);
+                    }
+                }
+                self.tell_core(dispatcher, Input::Ended { request, attempt, end });
+            }
+            Owner::Fill { host, start, fill, .. } => {
+                if self.world.start(host).0 != start {
+                    return;
+                }
+                let end = match ending {
+                    Ending::Finish => SourceEnd::Complete,
+                    Ending::Reject { status, note, .. } => SourceEnd::Told { status, note },
+                    Ending::Broken | Ending::Refused => SourceEnd::Unreachable,
+                };
+                self.tell_world(In::SourceEnd { host, fill, end });
+            }
+        }
+    }
+
+    // ---- control and script
+
+    fn told(&mut self, n: usize, told: Told) {
+        let now = self.now;
+        let (input, saw, hidden) = match told {
+            Told::Purge { object, group, at } => {
+                let number = object.as_deref().map(|o| ObjectId::named(o).0);
+                let version_from = self.world.version(number.unwrap_or(0), group);
+                let head = PurgeHead { object, group, age_us: now.saturating_sub(at), seq: 0 };
+                let saw = Saw::ToldPurge { dispatcher: n, object: number, group, version_from };
+                (Input::Purge(head), saw, false)
+            }
+            Told::Delta(seq, lines) => self.list(n, ListForm::Delta, seq, &lines),
+            Told::Full(seq, lines) => self.list(n, ListForm::Full, seq, &lines),
+        };
+        self.saw(saw);
+        if !hidden {
+            self.tell_core(n, input);
+        }
+    }
+
+    fn list(&self, dispatcher: usize, form: ListForm, seq: u64, lines: &[Line]) -> (Input, Saw, bool) {
+        let of = |wanted: bool| -> Vec<String> {
+            let fits = |l: &&Line| (l.listed == Listed::Ready) == wanted;
+            lines.iter().filter(fits).map(|l| l.address.clone()).collect()
+        };
+        let whole = form == ListForm::Full;
+        let saw = Saw::ToldList { dispatcher, whole, ready: of(true), out: of(false) };
+        let hidden = self.plant == Some(Plant::Drain) && lines.iter().any(|l| l.listed == Listed::Draining);
+        let line = |l: &Line| {
+            let (kind, zone, weight, _) = self.members[l.host].clone();
+            let started = l.started.filter(|_| self.plant != Some(Plant::Cold));
+            MemberLine {
+                address: l.address.clone(),
+                state: match l.listed {
+                    Listed::Ready => WireState::Ready,
+                    Listed::Draining => WireState::Draining,
+                    Listed::Gone => WireState::Gone,
+                } as i32,
+                weight,
+                zone,
+                kind,
+                cell: 0,
+                start: l.start,
+                started_ago_us: started.map(|at| self.now.saturating_sub(at)),
+            }
+        };
+        let members = lines.iter().map(line).collect();
+        (Input::Members(ListHead { form: form as i32, seq, members }), saw, hidden)
+    }
+
+    fn step(&mut self, n: usize) {
+        let step = self.script.steps[n].1.clone();
+        match step {
+            Step::Say(text) => self.saw(Saw::Trouble { text }),
+            Step::Fault { host, fault } => {
+                let fault: Fault = fault.later(EPOCH);
+                self.tell_world(In::Fault { host, fault });
+            }
+            Step::List { host, listed } => {
+                if listed == Listed::Ready && !self.world.is_up(host) {
+                    return;
+                }
+                let (start, started) = self.world.start(host);
+                let started = started.map(|at| at - EPOCH);
+                let address = self.address(host);
+                self.book.change(self.now, Line { host, address, listed, start, started });
+            }
+            Step::Purge { group } => {
+                for group in purge_groups(self.s, group) {
+                    self.purge(None, group);
+                }
+            }
+            Step::PurgeObject { object, group } => self.purge(Some(object), group),
+            Step::Kill { dispatcher } => self.kill(dispatcher),
+            Step::Revive { dispatcher } => self.revive(dispatcher),
+            Step::ListDelay { more, until } => self.book.delay(more, until),
+        }
+    }
+
+    fn purge(&mut self, object: Option<String>, group: u64) {
+        let number = object.as_deref().map(|o| ObjectId::named(o).0);
+        self.tell_world(In::Change { object: number, group });
+        self.book.purge(self.now, object, group);
+        if self.plant == Some(Plant::Purge) {
+            return;
+        }
+        let hosts: Vec<HostId> =
+            self.world.hosts().filter(|(_, h)| h.role != Role::Origin).map(|(id, _)| id).collect();
+        for host in hosts {
+            let after = drop_delay(self.s, number.unwrap_or(group), host, self.now);
+            let (object, at) = (number, self.now);
+            self.queue.plan(self.now + after, Event::DropCopies { host, object, group, at });
+        }
+    }
+}
