--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -181,6 +181,7 @@
         "seconds": scenario.seconds,
         "service": s.service,
         "worst_10s": s.worst_10s,
+        "goal": s.goal,
         "classes": s.classes,
         "tries": s.tries,
         "attempts": s.attempts,
@@ -193,8 +194,8 @@
 fn print(scenario: &Scenario, outcome: &Outcome) {
     let s = &outcome.service;
     println!(
-        "service {:.3} (worst 10 s {:.3}, from {:.0} s), {} tries, {} attempts, rig at most {:.0} ms late",
-        s.service, s.worst_10s, s.worst_from_s, s.tries, s.attempts, outcome.rig_late_ms
+        "service {:.3} (worst 10 s {:.3}, from {:.0} s; goal {:.3}), {} tries, {} attempts, rig at most {:.0} ms late",
+        s.service, s.worst_10s, s.worst_from_s, s.goal, s.tries, s.attempts, outcome.rig_late_ms
     );
     for c in &s.classes {
         println!(
--- a/crates/lab/src/audit/service.rs
+++ b/crates/lab/src/audit/service.rs
@@ -31,6 +31,8 @@
     /// The same over the worst 10 s (of the run's length, if it is shorter), and when it began.
     pub worst_10s: f64,
     pub worst_from_s: f64,
+    /// The day, its worst 10 s and its worst class by the scenario's weights. No prices.
+    pub goal: f64,
     pub classes: Vec<ClassService>,
     /// Asked and earned by second, for plots.
     pub by_second: Vec<(f64, f64)>,
@@ -114,10 +116,14 @@
     let sum = |w: &[(f64, f64)]| w.iter().fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
     let worst = stretches.map(|(n, w)| (ratio(sum(w)), n)).min_by(|a, b| a.0.total_cmp(&b.0));
     let (worst_10s, from) = worst.unwrap_or((1.0, 0));
+    let worst_class = classes.iter().filter(|c| c.calls > c.left).map(|c| c.service).fold(1.0, f64::min);
+    let (a, b, c) = scenario.goal;
+    let goal = (a * ratio(all) + b * worst_10s + c * worst_class) / (a + b + c).max(1e-9);
     Service {
         service: ratio(all),
         worst_10s,
         worst_from_s: (first + from) as f64,
+        goal,
         classes,
         by_second,
         tries: evidence.tries.len() as u64,
--- a/crates/lab/src/day/mod.rs
+++ b/crates/lab/src/day/mod.rs
@@ -78,8 +78,15 @@
     pub rig_late_ms: f64,
 }
 
+/// A loopback address for the nth of a role. Each run has a block of its own by its process: two runs on one machine
+/// must not find each other's members at a port that one of them has left for a moment.
+pub(crate) fn loopback(role: u8, n: usize) -> IpAddr {
+    let block = 64 + (std::process::id() % 128) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, block, role + (n / 250) as u8, (n % 250 + 1) as u8))
+}
+
 fn member_ip(n: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 2, (n / 250) as u8, (n % 250 + 1) as u8))
+    loopback(0, n)
 }
 
 /// Each member has an address of its own, so that no outgoing connection takes its port while it is down.
@@ -89,7 +96,9 @@
     listener.local_addr().expect("it is bound").to_string()
 }
 
-const FILLS_FROM: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 3, 0, 1));
+fn fills_from() -> IpAddr {
+    loopback(200, 0)
+}
 
 /// Plays a day. `program` is the dispatcher's binary; `folder` gets settings, state and logs of each.
 pub async fn run(
@@ -103,7 +112,7 @@
     let hosts = scenario.hosts(member_address);
     let script = Script::write(scenario, &hosts, member_address);
     let traffic = Traffic::draw(scenario);
-    let mut options = StageOptions { fills_from: Some(FILLS_FROM), ..Default::default() };
+    let mut options = StageOptions { fills_from: Some(fills_from()), ..Default::default() };
     for dispatcher in 0..scenario.dispatcher_count() {
         options.dispatchers.insert(source_ip(dispatcher), dispatcher);
     }
--- a/crates/lab/src/day/process.rs
+++ b/crates/lab/src/day/process.rs
@@ -1,8 +1,8 @@
 //! Dispatchers as processes of their own.
 use super::settings::{ini, Doors};
-use super::RigError;
+use super::{loopback, RigError};
 use crate::scenario::Scenario;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -13,12 +13,12 @@
 
 /// The dispatcher's own local address for connections to members: how members tell who sent an attempt.
 pub fn source_ip(dispatcher: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 1, (dispatcher / 250) as u8, (dispatcher % 250 + 1) as u8))
+    loopback(100, dispatcher)
 }
 
 /// Listeners stand on other addresses than outgoing connections, so that a port is free again at a restart.
 fn listen_ip(dispatcher: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 4, (dispatcher / 250) as u8, (dispatcher % 250 + 1) as u8))
+    loopback(150, dispatcher)
 }
 
 #[derive(Debug)]
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -16,7 +16,8 @@
 
 const FLOW: f64 = 50e6;
 
-pub(crate) fn plain_host(address: String, role: Role, zone: usize, weight: f64) -> HostSpec {
+/// A member without limits that a first try would meet.
+pub fn plain_host(address: String, role: Role, zone: usize, weight: f64) -> HostSpec {
     HostSpec {
         address,
         role,
@@ -30,6 +31,7 @@
         fill_timeout: 3_000_000,
         fill_retries: 1,
         abort_fill: false,
+        joins: true,
         cold: ColdSpec { start_share: 0.2, warm_within: 5_000_000, multiple: 2.0, window: 1_000_000 },
         think: if role == Role::Origin { 5_000 } else { 0 },
         report_every: 200_000,
--- a/crates/lab/src/import.rs
+++ b/crates/lab/src/import.rs
@@ -26,6 +26,8 @@
     drain_grace: f64,
     fall_multiple: f64,
     fall_for: f64,
+    #[serde(default)]
+    goal: Option<Goal>,
     classes: Vec<ClassPart>,
     tiers: Vec<Tier>,
     servers: Vec<Server>,
@@ -134,9 +136,18 @@
     stop: Vec<usize>,
 }
 
+#[derive(Debug, Deserialize)]
+struct Goal {
+    whole: f64,
+    worst_window: f64,
+    worst_class: f64,
+}
+
 #[derive(Debug, Deserialize)]
 struct Family {
     abort_fill: bool,
+    #[serde(default = "yes")]
+    parent_joins: bool,
     direct: bool,
     far: f64,
     fill_timeout: f64,
@@ -270,6 +281,15 @@
         })
     }
 
+    /// Seconds before the day: its members hold what was asked for lately when it begins, ours fill first.
+    fn lead(&self) -> f64 {
+        if self.size == Size::Full {
+            30.0
+        } else {
+            4.0
+        }
+    }
+
     /// Full-size transfers that stand for one here.
     fn shrink(&self, day: &Day) -> f64 {
         let whole: f64 = self.caches.iter().map(|n| day.servers[*n].weight).sum();
@@ -296,8 +316,8 @@
             parent * self.parents.len() as f64 * self.shrink(day) / self.parent_count.max(1) as f64;
         let _ = writeln!(
             out,
-            "# Imported: a {} day of {}.\n[day]\nabout = a {} day of {}, imported\nseconds = {:.1}\nrate = {:.2}\nwarm_s = 4\npurges_per_s = {:.3}\n",
-            day.kind, day.site, day.kind, day.site, day.length / 1e6, rate, f.purges,
+            "# Imported: a {} day of {}.\n[day]\nabout = a {} day of {}, imported\nseconds = {:.1}\nrate = {:.2}\nwarm_s = {:.0}\npurges_per_s = {:.3}\n",
+            day.kind, day.site, day.kind, day.site, day.length / 1e6 + self.lead(), rate, self.lead(), f.purges,
         );
         let siblings = if f.siblings == "location" { "zone" } else { f.siblings.as_str() };
         let yes = |b: bool| if b { "yes" } else { "no" };
@@ -335,13 +355,14 @@
         let _ = writeln!(
             out,
             "[parent]\nweight = {:.2}\nplaces = 4096\nqueue = 4096\nstore_mb = {:.2}\nfill_places = 1024\n\
-             fill_timeout_ms = {:.0}\nfill_retries = {}\n\n\
+             fill_timeout_ms = {:.0}\nfill_retries = {}\njoins = {}\n\n\
              [cold parent]\nstart_share = {:.3}\nwarm_within_ms = {:.0}\nmultiple = {:.2}\nwindow_ms = {:.0}\n",
             parent.max(0.05),
             f.parent_store / 1e6 * self.flow * self.shrink(day) / self.parents.len().max(1) as f64
                 * self.parents.len() as f64 / self.parent_count.max(1) as f64 / 1024.0,
             f.fill_timeout / 1e3,
             f.retries.1.min(3.0) as u64,
+            yes(f.parent_joins),
             f.parent_cold.0, f.parent_cold.1 / 1e3, f.parent_fall, day.fall_for / 1e3,
         );
         let _ = writeln!(
@@ -359,6 +380,13 @@
             if self.size == Size::Full { 0.0 } else { 0.3 },
             day.clients.honour,
         );
+        if let Some(g) = &day.goal {
+            let _ = writeln!(
+                out,
+                "[goal]\nwhole = {}\nworst_10s = {}\nworst_class = {}\n",
+                g.whole, g.worst_window, g.worst_class
+            );
+        }
         let (add, notice) = (day.discovery.add / 1e3, day.discovery.notice / 1e3);
         let _ = writeln!(
             out,
@@ -485,7 +513,7 @@
             out,
             "[trouble {}-{n}]\nkind = {kind}\nat_s = {:.2}\nfor_s = {:.2}\nshare = {:.3}\nrole = {role}",
             t.kind,
-            t.at / 1e6,
+            t.at / 1e6 + self.lead(),
             length / 1e6,
             share.clamp(0.001, 1.0)
         );
--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -66,6 +66,8 @@
     pub fill_retries: u32,
     /// A fill whose last client has left is dropped (else it runs on).
     pub abort_fill: bool,
+    /// A parent fetches once for all who wait; else for each fill apart. Caches join where the request says so.
+    pub joins: bool,
     pub cold: cold::ColdSpec,
     /// Time before the first byte of an answer: the origin's own work. Mean of an exponential draw.
     pub think: Micros,
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -430,8 +430,7 @@
     ) {
         let key = (wanted.number, wanted.part);
         let parent = self.hosts[h].spec.role == Role::Parent;
-        // A parent fetches once for all who wait; a cache where the request says so.
-        let join = wanted.join || (parent && !wanted.key_is_set());
+        let join = if parent { self.hosts[h].spec.joins && !wanted.key_is_set() } else { wanted.join };
         let under_way = self.hosts[h].filling.get(&key).copied();
         if let Some(fill) = under_way.filter(|_| join) {
             let host = &mut self.hosts[h];
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -127,6 +127,8 @@
     pub origin: KindDay,
     pub rules: RulesDay,
     pub clients: ClientsDay,
+    /// Weights of the whole day, its worst 10 s and its worst class in one figure.
+    pub goal: (f64, f64, f64),
     pub classes: Vec<ClassDay>,
     pub troubles: Vec<script::Trouble>,
 }
--- a/crates/lab/src/scenario/read.rs
+++ b/crates/lab/src/scenario/read.rs
@@ -96,6 +96,11 @@
             hang_up: d.share("clients", "hang_up", 0.01),
             honour: d.share("clients", "honour", 0.8),
         },
+        goal: (
+            d.num("goal", "whole", 0.6, 0.0, 1e3),
+            d.num("goal", "worst_10s", 0.2, 0.0, 1e3),
+            d.num("goal", "worst_class", 0.2, 0.0, 1e3),
+        ),
         classes: classes(&mut d),
         troubles: Vec::new(),
     };
@@ -155,6 +160,7 @@
         fill_timeout: d.ms(section, "fill_timeout_ms", 2_000.0),
         fill_retries: d.count(section, "fill_retries", 1, 0) as u32,
         abort_fill: d.reader.flag(section, "abort_fill", false),
+        joins: role == Role::Parent && d.reader.flag(section, "joins", true),
         cold,
         think: if role == Role::Origin { d.ms(section, "think_ms", 30.0) } else { 0 },
         report_every: d.ms(section, "report_ms", 400.0),
--- a/crates/lab/src/sockets/fills.rs
+++ b/crates/lab/src/sockets/fills.rs
@@ -3,6 +3,7 @@
 use super::words;
 use crate::content::Checker;
 use crate::model::{Answer, Copy, FillId, HostId, In, SourceEnd, Wanted};
+use pointspindle::Micros;
 use pointspindle_link::{CallEnd, Part};
 use pointspindle_wire::AnswerHead;
 
@@ -18,13 +19,14 @@
     let Ok(link) = stage.link(host, source).await else { return SourceEnd::Unreachable };
     let request = words::request(wanted, &stage.inner().classes, LEFT_US);
     let Ok(mut call) = link.call(request) else { return SourceEnd::Unreachable };
+    let asked = stage.now();
     let mut checker = Checker::new(wanted.number, wanted.part);
     let mut bodyless = false;
     while let Some(part) = call.next().await {
         match part {
             Part::Head(head) => {
                 bodyless = head.not_modified || head.code != 0 || head.size == Some(0);
-                let answer = answer(stage, &head, wanted);
+                let answer = answer(asked, &head, wanted);
                 stage.tell(In::SourceHead { host, fill, answer });
             }
             Part::Data(data) => checker.take(&data),
@@ -42,15 +44,13 @@
     SourceEnd::Unreachable
 }
 
-fn answer(stage: &Stage, head: &AnswerHead, wanted: &Wanted) -> Answer {
+/// The copy counts as no younger than the question (RFC 9111, 4.2.3): its source may have taken it, and told its age,
+/// long before the head came here, and a purge may lie in between.
+fn answer(asked: Micros, head: &AnswerHead, wanted: &Wanted) -> Answer {
     let version = words::version(&head.validator).or(wanted.holds).unwrap_or(0);
     Answer {
         note: head.note(),
-        copy: Copy {
-            version,
-            size: head.size.unwrap_or(0),
-            birth: stage.now().saturating_sub(head.age_us),
-        },
+        copy: Copy { version, size: head.size.unwrap_or(0), birth: asked.saturating_sub(head.age_us) },
         age: head.age_us,
         fresh_left: head.fresh_left_us,
         not_modified: head.not_modified,
--- a/crates/lab/tests/model.rs
+++ b/crates/lab/tests/model.rs
@@ -24,6 +24,7 @@
         fill_timeout: 500 * MS,
         fill_retries: 0,
         abort_fill: false,
+        joins: true,
         cold: ColdSpec { start_share: 0.25, warm_within: 10_000 * MS, multiple: 2.0, window: 1_000 * MS },
         think: 0,
         report_every: 100 * MS,
