--- a/crates/cli/benches/proxy.rs
+++ b/crates/cli/benches/proxy.rs
@@ -6,7 +6,7 @@
 //!
 //! `cargo bench -p pointspindle-cli --bench proxy -- [seconds a row]`
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use pointspindle_link::{CallEnd, Inbound, Link, LinkOptions, Part};
@@ -95,6 +95,16 @@
                     let _ = tokio::io::copy_bidirectional(&mut here, &mut there).await;
                 });
             }
+            "silent" => {
+                tokio::spawn(async move {
+                    let options = LinkOptions { max_streams: 100_000 };
+                    let (_link, mut incoming) = Link::start(socket, Side::Answerer, options);
+                    let mut held = vec![];
+                    while let Some(inbound) = incoming.next().await {
+                        held.push(inbound);
+                    }
+                });
+            }
             _ => {
                 tokio::spawn(framed_member(socket, bodies));
             }
@@ -317,5 +327,23 @@
         drop(held);
         tokio::time::sleep(Duration::from_millis(300)).await;
     }
-    let _ = Full::new(Bytes::new()).collect().await;
+
+    // A dispatcher of its own, whose member takes requests and answers none.
+    let silent = start(&["silent"]);
+    let folder = tempfile::tempdir().unwrap();
+    let edge = dispatcher(silent.at, folder.path());
+    let socket = TcpStream::connect(edge.framed.unwrap()).await.unwrap();
+    let (link, _incoming) = Link::start(socket, Side::Caller, LinkOptions { max_streams: 4096 });
+    let before = usage(&edge).1;
+    const OPEN: usize = 500;
+    let mut calls = vec![];
+    for n in 0..OPEN {
+        let class = "page".into();
+        let head =
+            RequestHead { object: format!("/o{n}"), class, left_us: 20_000_000, ..Default::default() };
+        calls.push(link.call(head).unwrap());
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let each = usage(&edge).1.saturating_sub(before) / OPEN as u64;
+    println!("\nan open request, framed: {each} bytes of program memory ({OPEN} open)");
 }
--- a/crates/link/src/tasks.rs
+++ b/crates/link/src/tasks.rs
@@ -25,8 +25,6 @@
 const IN_PLACE: usize = 8 * 1024;
 /// A larger buffer is given back once it is empty.
 const KEPT_BUFFER: usize = 4 * 1024;
-/// While bodies stream in, so much room is held ready: several frames a read.
-const BULK: usize = 256 * 1024;
 /// Longest time for what is still queued when a connection is closed here.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
@@ -374,10 +372,6 @@
             Err(why) => break why,
         }
         unsorted += body;
-        let buffer = frames.read_buffer_mut();
-        if body as usize >= IN_PLACE && buffer.capacity() - buffer.len() < MAX_DATA {
-            buffer.reserve(BULK);
-        }
         if unsorted >= CONNECTION_WINDOW / 4 {
             shared.table().streams.give_back_connection(unsorted);
             shared.push(Out::Frame(Frame::Credit(0, unsorted)));
