--- /dev/null
+++ b/crates/lab/src/model/world/faults.rs
@@ -0,0 +1,72 @@
+//! Scripted trouble, and what ends a process.
+use super::super::host::Wait;
+use super::super::*;
+use super::World;
+
+impl World {
+    pub(super) fn fault(&mut self, now: Micros, h: HostId, fault: Fault, out: &mut Vec<Out>) {
+        let host = &mut self.hosts[h];
+        let look = match fault {
+            Fault::Hang { until } => {
+                host.faults.hang = until;
+                Some(until)
+            }
+            Fault::Lose { share, until } => {
+                host.faults.lose = (share, until);
+                None
+            }
+            Fault::Cut { share, until } => {
+                host.faults.cut = (share, until);
+                None
+            }
+            Fault::Refuse { until } => {
+                host.faults.refuse = until;
+                None
+            }
+            Fault::Err { share, until } => {
+                host.faults.err = (share, until);
+                None
+            }
+            Fault::Slow { factor, until } => {
+                host.faults.slow = (factor, until);
+                Some(until)
+            }
+            Fault::Die => {
+                if host.up {
+                    self.down(now, h, "the process ended", out);
+                }
+                return;
+            }
+            Fault::Return => {
+                if !host.up {
+                    host.up = true;
+                    host.start += 1;
+                    host.started = Some(now);
+                    host.hits = 0.0;
+                    out.push(Out::Up { host: h });
+                    self.plan_pause(now, h);
+                    self.warm(now, h);
+                    self.refresh(h);
+                }
+                return;
+            }
+        };
+        if let Some(at) = look {
+            host.waits.insert((at, Wait::Look));
+        }
+        self.warm(now, h);
+        self.refresh(h);
+    }
+
+    pub(super) fn down(&mut self, now: Micros, h: HostId, why: &'static str, out: &mut Vec<Out>) {
+        let fills: Vec<FillId> = self.hosts[h].fills.keys().copied().collect();
+        for fill in fills {
+            self.forget_fill(now, h, fill);
+            out.push(Out::DropFill { host: h, fill });
+        }
+        self.hosts[h].clear();
+        self.hosts[h].up = false;
+        self.refresh(h);
+        out.push(Out::Down { host: h, why });
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,8 +69,9 @@
 const PURGE_MARGIN: Micros = 1_000 * MS;
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
 const KEY_MARGIN: Micros = 200 * MS;
-/// A member that is gone is forgotten after this, unless an attempt refers to it: longer than any hold, window or
-/// purge, so one that comes back under its number sooner finds its standing, and each deploy's leave in time.
+/// A member that is gone is forgotten after this, unless an attempt refers to it: longer than any hold,
+/// window or purge, so one that comes back under its number sooner finds its standing, and each deploy's
+/// leave in time.
 const FORGET: Micros = 60_000 * MS;
 /// Purges are looked through for old ones when there are more than this, then at twice what was left.
 const PURGES_FIRST: usize = 1024;
@@ -276,8 +277,9 @@
         self.forget_gone(now);
     }
 
-    /// Every choice looks at each member, so those of past deploys would make requests dearer for ever. One that
-    /// an open request has out, was filled from, or may have run at is kept: its zone and cell bound a resend.
+    /// Every choice looks at each member, so those of past deploys would make requests dearer for ever. One
+    /// that an open request has out, was filled from, or may have run at is kept: its zone and cell bound a
+    /// resend.
     fn forget_gone(&mut self, now: Micros) {
         for m in self.members.values_mut() {
             let since = m.gone.unwrap_or(now);
@@ -487,9 +489,10 @@
                     m.health.pace += PACE_STEP * (pace - m.health.pace);
                 }
             }
-            // An answer that tells its size is learned from. Else quick ones only: slow ones would raise the mean
-            // and with it what counts as late. They leave the large objects out, so not where other requests tell
-            // their sizes: a cold member's budget would be charged too little (one door of two tells none).
+            // An answer that tells its size is learned from. Else quick ones only: slow ones would raise
+            // the mean and with it what counts as late. They leave the large objects out, so not where
+            // other requests tell their sizes: a cold member's budget would be charged too little (one door
+            // of two tells none).
             let quick = e.elapsed <= self.set.classes[class].aim;
             match e.kb.filter(|_| self.set.stream_kb_per_s > 0.0) {
                 _ if kb.is_some() => {}
