--- a/crates/lab/src/book.rs
+++ b/crates/lab/src/book.rs
@@ -1,10 +1,13 @@
 //! The source of lists and purges: what is true, and what each dispatcher is told of it when.
 //!
 //! Each dispatcher hears of every change in order, each after a delay of its own.
+use crate::day::Plant;
 use crate::model::{HostId, HostSpec};
+use crate::record::Saw;
 use crate::scenario::script::Listed;
 use crate::scenario::{stream, RulesDay};
 use pointspindle::Micros;
+use pointspindle_wire::{ListForm, ListHead, MemberLine, WireState};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::VecDeque;
@@ -159,3 +162,52 @@
         self.waiting.insert(place, (due, told));
     }
 }
+
+/// A list update as it is sent and as it is seen; `hidden`: only claimed to have been sent.
+pub struct Update {
+    pub head: ListHead,
+    pub saw: Saw,
+    pub hidden: bool,
+}
+
+/// Words a list update for a dispatcher. `member` tells kind, zone and weight; plants of control act here.
+pub fn update<'a>(
+    dispatcher: usize,
+    form: ListForm,
+    seq: u64,
+    lines: &[Line],
+    now: Micros,
+    plant: Option<Plant>,
+    member: impl Fn(HostId) -> Option<(&'a str, &'a str, f64)>,
+) -> Update {
+    let of = |wanted: bool| -> Vec<String> {
+        let fits = |l: &&Line| (l.listed == Listed::Ready) == wanted;
+        lines.iter().filter(fits).map(|l| l.address.clone()).collect()
+    };
+    let whole = form == ListForm::Full;
+    let saw = Saw::ToldList { dispatcher, whole, ready: of(true), out: of(false) };
+    // Claims to have told of drains and did not.
+    let hidden = plant == Some(Plant::Drain) && lines.iter().any(|l| l.listed == Listed::Draining);
+    let line = |l: &Line| {
+        let (kind, zone, weight) = member(l.host).unwrap_or_default();
+        let state = match l.listed {
+            Listed::Ready => WireState::Ready,
+            Listed::Draining => WireState::Draining,
+            Listed::Gone => WireState::Gone,
+        };
+        // Hides a cold start.
+        let started = l.started.filter(|_| plant != Some(Plant::Cold));
+        MemberLine {
+            address: l.address.clone(),
+            state: state as i32,
+            weight,
+            zone: zone.into(),
+            kind: kind.into(),
+            cell: 0,
+            start: l.start,
+            started_ago_us: started.map(|at| now.saturating_sub(at)),
+        }
+    };
+    let members = lines.iter().map(line).collect();
+    Update { head: ListHead { form: form as i32, seq, members }, saw, hidden }
+}
--- a/crates/lab/src/day/control.rs
+++ b/crates/lab/src/day/control.rs
@@ -1,8 +1,7 @@
 //! The control stand-in: tells dispatchers what the book says, when it says so.
 use super::Plant;
-use crate::book::{Book, Line, Told};
+use crate::book::{self, Book, Line, Told};
 use crate::record::{Recorder, Saw};
-use crate::scenario::script::Listed;
 use crate::sockets::Stage;
 use pointspindle::{Micros, ObjectId};
 use pointspindle_link::{Link, LinkOptions};
@@ -126,36 +125,11 @@
         lines: Vec<Line>,
         now: Micros,
     ) -> (Frame, Saw, bool) {
-        let of = |wanted: bool| -> Vec<String> {
-            let fits = |l: &&Line| (l.listed == Listed::Ready) == wanted;
-            lines.iter().filter(fits).map(|l| l.address.clone()).collect()
+        let member = |host| {
+            let (kind, zone, weight) = self.members.get(&host)?;
+            Some((kind.as_str(), zone.as_str(), *weight))
         };
-        let whole = form == ListForm::Full;
-        let saw = Saw::ToldList { dispatcher, whole, ready: of(true), out: of(false) };
-        // Claims to have told of drains and did not.
-        let hidden = self.plant == Some(Plant::Drain) && lines.iter().any(|l| l.listed == Listed::Draining);
-        let members = lines.iter().map(|l| self.line(l, now)).collect();
-        (Frame::Members(ListHead { form: form as i32, seq, members }), saw, hidden)
-    }
-
-    fn line(&self, l: &Line, now: Micros) -> MemberLine {
-        let (kind, zone, weight) = self.members.get(&l.host).cloned().unwrap_or_default();
-        let state = match l.listed {
-            Listed::Ready => WireState::Ready,
-            Listed::Draining => WireState::Draining,
-            Listed::Gone => WireState::Gone,
-        };
-        // Hides a cold start.
-        let started = l.started.filter(|_| self.plant != Some(Plant::Cold));
-        MemberLine {
-            address: l.address.clone(),
-            state: state as i32,
-            weight,
-            zone,
-            kind,
-            cell: 0,
-            start: l.start,
-            started_ago_us: started.map(|at| now.saturating_sub(at)),
-        }
+        let told = book::update(dispatcher, form, seq, &lines, now, self.plant, member);
+        (Frame::Members(told.head), told.saw, told.hidden)
     }
 }
--- a/crates/lab/src/virt/sim.rs
+++ b/crates/lab/src/virt/sim.rs
@@ -2,7 +2,7 @@
 use super::links::{Links, Owner};
 use super::queue::Queue;
 use super::Cost;
-use crate::book::{Book, Line, Told};
+use crate::book::{self, Book, Line, Told};
 use crate::day::settings::{ini, Doors};
 use crate::day::{drop_delay, Plant};
 use crate::model::{Answer, Fault, HostId, HostSpec, In, JobId, Out, Role, SourceEnd, Wanted, World};
@@ -631,33 +631,12 @@
     }
 
     fn list(&self, dispatcher: usize, form: ListForm, seq: u64, lines: &[Line]) -> (Input, Saw, bool) {
-        let of = |wanted: bool| -> Vec<String> {
-            let fits = |l: &&Line| (l.listed == Listed::Ready) == wanted;
-            lines.iter().filter(fits).map(|l| l.address.clone()).collect()
+        let member = |host: HostId| {
+            let (kind, zone, weight, _) = self.members.get(host)?;
+            Some((kind.as_str(), zone.as_str(), *weight))
         };
-        let whole = form == ListForm::Full;
-        let saw = Saw::ToldList { dispatcher, whole, ready: of(true), out: of(false) };
-        let hidden = self.plant == Some(Plant::Drain) && lines.iter().any(|l| l.listed == Listed::Draining);
-        let line = |l: &Line| {
-            let (kind, zone, weight, _) = self.members[l.host].clone();
-            let started = l.started.filter(|_| self.plant != Some(Plant::Cold));
-            MemberLine {
-                address: l.address.clone(),
-                state: match l.listed {
-                    Listed::Ready => WireState::Ready,
-                    Listed::Draining => WireState::Draining,
-                    Listed::Gone => WireState::Gone,
-                } as i32,
-                weight,
-                zone,
-                kind,
-                cell: 0,
-                start: l.start,
-                started_ago_us: started.map(|at| self.now.saturating_sub(at)),
-            }
-        };
-        let members = lines.iter().map(line).collect();
-        (Input::Members(ListHead { form: form as i32, seq, members }), saw, hidden)
+        let told = book::update(dispatcher, form, seq, lines, self.now, self.plant, member);
+        (Input::Members(told.head), told.saw, told.hidden)
     }
 
     fn step(&mut self, n: usize) {
