Clients' turns and waits stated once; what nothing used is gone

Cause, from a second reading of the change: both modes worked out a client's dispatcher and its wait, an answer was broken off in three copies, a sight that nobody recorded was judged, one comment was of another field. Change: Scenario::target and wait, one break_off, the dead parts removed.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -119,7 +119,7 @@
     if arguments.json {
         println!("{}", json(&scenario, &outcome));
     } else {
-        print(&scenario, &outcome);
+        print(&outcome);
     }
     if outcome.rules.iter().any(|r| !r.breaches.is_empty()) {
         return Err(Failure::No);
@@ -149,7 +149,7 @@
     if arguments.json {
         println!("{}", json(scenario, &outcome));
     } else {
-        print(scenario, &outcome);
+        print(&outcome);
         println!(
             "  {} events in {:.1} s, {:.0} a second; {:.1} us a call of a core",
             cost.events,
@@ -191,7 +191,7 @@
     .to_string()
 }
 
-fn print(scenario: &Scenario, outcome: &Outcome) {
+fn print(outcome: &Outcome) {
     let s = &outcome.service;
     println!(
         "service {:.3} (worst 10 s {:.3}, from {:.0} s; goal {:.3}), {} tries, {} attempts, rig at most {:.0} ms late",
@@ -213,5 +213,4 @@
             println!("    at {:.0} ms, {request}: {}", b.at_ms, b.detail);
         }
     }
-    let _ = scenario;
 }
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -4,7 +4,6 @@
 use pointspindle_wire::http::{HttpPiece, ResponseCodec};
 use pointspindle_wire::streams::Side;
 use pointspindle_wire::*;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Output, Stdio};
@@ -484,6 +483,4 @@
     assert!(list.contains(&other) && list.contains("3 members"), "{list}");
     let wrong = program(&["members", "--at", &edge.bound.control.to_string(), "--set", "nonsense"]);
     assert_eq!(wrong.status.code(), Some(2));
-    let mut log = std::io::stderr();
-    let _ = writeln!(log, "{list}");
 }
--- a/crates/edge/src/net/exchange.rs
+++ b/crates/edge/src/net/exchange.rs
@@ -224,9 +224,7 @@
         };
         match passed_on {
             None => {
-                drop(call);
-                client.break_off().await;
-                return Fate::Broken;
+                return break_off(call, client).await;
             }
             Some(Err(ClientGone)) => return Fate::ClientGone,
             Some(Ok(())) => {}
@@ -248,9 +246,7 @@
                     tokio::select! {
                         biased;
                         _ = self.orders.recv() => {
-                            drop(call);
-                            client.break_off().await;
-                            return Fate::Broken;
+                            return break_off(call, client).await;
                         }
                         part = wait => match part {
                             Ok(part) => part,
@@ -271,9 +267,7 @@
                         Some(Ok(())) => {}
                         Some(Err(ClientGone)) => return Fate::ClientGone,
                         None => {
-                            drop(call);
-                            client.break_off().await;
-                            return Fate::Broken;
+                            return break_off(call, client).await;
                         }
                     }
                 }
@@ -295,6 +289,13 @@
     }
 }
 
+/// The member is told first, then the client sees that its answer stays incomplete.
+async fn break_off<C: ClientSide>(call: Call, client: &mut C) -> Fate {
+    drop(call);
+    client.break_off().await;
+    Fate::Broken
+}
+
 /// Brings the current attempt one step on; waits for ever where there is none, or its head is held.
 async fn progress(hub: &Arc<Hub>, current: &mut Option<Attempt>) -> Step {
     match current {
--- a/crates/lab/src/audit/answers.rs
+++ b/crates/lab/src/audit/answers.rs
@@ -45,9 +45,8 @@
         }
         _ => {}
     }
-    if t.ends.len() > 1 || !t.extras.is_empty() {
-        let at = t.extras.first().copied().unwrap_or(until);
-        rule.breach("twice", at, id, "more came after the final answer".into());
+    if let Some((at, _)) = t.ends.get(1) {
+        rule.breach("twice", *at, id, "more came after the final answer".into());
     }
     for attempt in &t.attempts {
         if let Some((at, _)) = end.filter(|(at, _)| attempt.from > *at + e.slack) {
--- a/crates/lab/src/audit/mod.rs
+++ b/crates/lab/src/audit/mod.rs
@@ -78,7 +78,6 @@
     pub asked: Micros,
     pub deadline: Micros,
     pub ends: Vec<(Micros, crate::record::End)>,
-    pub extras: Vec<Micros>,
     pub attempts: Vec<Attempt>,
 }
 
@@ -115,7 +114,6 @@
                         asked: at,
                         deadline: *deadline,
                         ends: vec![],
-                        extras: vec![],
                         attempts: vec![],
                     });
                 }
@@ -124,11 +122,6 @@
                         tries[n].ends.push((at, end.clone()));
                     }
                 }
-                Saw::Extra { id } => {
-                    if let Some(n) = place(id) {
-                        tries[n].extras.push(at);
-                    }
-                }
                 Saw::Reached { host, by: Some(by), id: Some(id), attempt, .. } => {
                     if let Some(n) = place(id) {
                         let (host, by, number) = (host.clone(), *by, *attempt);
--- a/crates/lab/src/day/clients.rs
+++ b/crates/lab/src/day/clients.rs
@@ -37,11 +37,8 @@
     pub async fn call(self: Arc<Self>, number: u64, call: Call) {
         let class = &self.scenario.classes[call.class];
         let clients = &self.scenario.clients;
-        let first = call.branch * self.scenario.dispatchers + (number as usize % self.scenario.dispatchers);
         for try_no in 0..=clients.retries {
-            let turn = (first - call.branch * self.scenario.dispatchers + try_no as usize)
-                % self.scenario.dispatchers;
-            let target = &self.targets[call.branch * self.scenario.dispatchers + turn];
+            let target = &self.targets[self.scenario.target(&call, number, try_no)];
             let id = TryId { call: number, try_no };
             let end = self.one_try(target, id, &call, class).await;
             let come_back = match end {
@@ -52,8 +49,7 @@
                 Some(End::Failed | End::Broken | End::Lost) if class.effect == Effect::Safe => None,
                 Some(_) => return,
             };
-            let back_off = (clients.back_off << try_no) as f64 * (0.5 + call.dice);
-            let wait = (back_off as Micros).max(come_back.unwrap_or(0));
+            let wait = self.scenario.wait(&call, try_no, come_back);
             tokio::time::sleep(Duration::from_micros(wait)).await;
         }
     }
--- a/crates/lab/src/model/host.rs
+++ b/crates/lab/src/model/host.rs
@@ -69,7 +69,7 @@
     /// Newest purges seen, so that a fill begun before is not kept.
     pub purged_objects: HashMap<u64, Micros>,
     pub purged_groups: HashMap<u64, Micros>,
-    /// The origin's tries to be pushed too far.
+    /// When the process next pauses; 0: never.
     pub next_pause: Micros,
 }
 
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -67,10 +67,6 @@
         id: TryId,
         end: End,
     },
-    /// Something came for a try that had its end.
-    Extra {
-        id: TryId,
-    },
     /// Something came from a dispatcher that belongs to no open request.
     Stray {
         dispatcher: usize,
@@ -182,7 +178,7 @@
     /// The try that a sight is about.
     pub fn id(&self) -> Option<TryId> {
         match self {
-            Self::Asked { id, .. } | Self::Ended { id, .. } | Self::Extra { id } => Some(*id),
+            Self::Asked { id, .. } | Self::Ended { id, .. } => Some(*id),
             Self::Reached { id, .. } | Self::Gone { id, .. } => *id,
             _ => None,
         }
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -206,6 +206,18 @@
         dispatcher / self.dispatchers.max(1)
     }
 
+    /// The dispatcher that a try goes to: those of the branch in turn.
+    pub fn target(&self, call: &Call, number: u64, try_no: u32) -> usize {
+        let each = self.dispatchers.max(1);
+        call.branch * each + (number as usize + try_no as usize) % each
+    }
+
+    /// How long a client waits before its next try.
+    pub fn wait(&self, call: &Call, try_no: u32, come_back: Option<Micros>) -> Micros {
+        let back_off = (self.clients.back_off << try_no) as f64 * (0.5 + call.dice);
+        (back_off as Micros).max(come_back.unwrap_or(0))
+    }
+
     pub fn class_models(&self) -> Vec<ClassModel> {
         let model = |c: &ClassDay| ClassModel {
             name: c.name.clone(),
--- a/crates/lab/src/sockets/member.rs
+++ b/crates/lab/src/sockets/member.rs
@@ -2,7 +2,7 @@
 use super::stage::{Stage, Word};
 use super::words::{self, Cut};
 use crate::content::Body;
-use crate::model::{HostId, In, Wanted};
+use crate::model::{HostId, In};
 use crate::record::{Left, Saw, TryId};
 use pointspindle_link::{Inbound, Link, LinkOptions, Responder};
 use pointspindle_wire::streams::Side;
@@ -102,8 +102,7 @@
         wanted.age = u64::MAX / 2;
     }
     let body = Body { number: wanted.number, part: wanted.part, version: 0 };
-    let holds = Wanted { ..wanted.clone() };
-    let (job, mut said) = stage.arrive(host, holds);
+    let (job, mut said) = stage.arrive(host, wanted);
     let gone = Some((address, id, asked.attempt, by));
     let mut leaving = Leaving { stage: stage.clone(), host, job, gone, how: Left::Lost, cancel: true };
     // Sent with the end: a member that dies in between leaves half an answer.
--- a/crates/lab/src/virt/sim.rs
+++ b/crates/lab/src/virt/sim.rs
@@ -229,14 +229,9 @@
 
     // ---- clients
 
-    fn target(&self, call: &Call, id: TryId) -> usize {
-        let per = self.s.dispatchers;
-        call.branch * per + (id.call as usize + id.try_no as usize) % per
-    }
-
     fn try_call(&mut self, id: TryId) {
         let call = &self.calls[id.call as usize];
-        let dispatcher = self.target(call, id);
+        let dispatcher = self.s.target(call, id.call, id.try_no);
         if !self.dispatchers[dispatcher].up {
             return self.again(id, None);
         }
@@ -305,8 +300,7 @@
             return;
         }
         let call = &self.calls[id.call as usize];
-        let back_off = (self.s.clients.back_off << id.try_no) as f64 * (0.5 + call.dice);
-        let wait = (back_off as Micros).max(come_back.unwrap_or(0));
+        let wait = self.s.wait(call, id.try_no, come_back);
         let next = TryId { try_no: id.try_no + 1, ..id };
         self.queue.plan(self.now + wait, Event::Try(next));
     }
