Restarts seen before the list tells: refusals, silence, hello and leases in the decisions

Change: the module takes a member that refused connections for 250 ms, with nothing under way and no word, as newly started when it answers, until the list tells of that start; one that was only silent for two windows. A hello tells the start itself and ends every guess; leases stand in for the guessed part of a budget.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -3,7 +3,7 @@
 use pointspindle_lab::audit::Rule;
 use pointspindle_lab::day::{self, Outcome, Plant};
 use pointspindle_lab::import;
-use pointspindle_lab::record::{trail, Sight, TryId};
+use pointspindle_lab::record::{trail, Saw, Sight, TryId};
 use pointspindle_lab::scenario::{self, Scenario};
 use pointspindle_lab::virt;
 use std::path::PathBuf;
@@ -172,6 +172,7 @@
             "breaches": r.breaches.len(),
             "kinds": r.kinds().into_iter().collect::<std::collections::BTreeMap<_, _>>(),
             "first": r.breaches.iter().take(5).collect::<Vec<_>>(),
+            "unknowing": r.unknowing.len(),
         })
     };
     let s = &outcome.service;
@@ -185,12 +186,19 @@
         "classes": s.classes,
         "tries": s.tries,
         "attempts": s.attempts,
+        "fallen": fallen(outcome),
         "rig_late_ms": outcome.rig_late_ms,
         "rules": outcome.rules.iter().map(rule).collect::<Vec<_>>(),
     })
     .to_string()
 }
 
+/// Members that were pushed over while cold, whoever knew of their start.
+fn fallen(outcome: &Outcome) -> usize {
+    let cold = |s: &&Sight| matches!(&s.saw, Saw::Fell { why, .. } if why.contains("cold"));
+    outcome.sights.iter().filter(cold).count()
+}
+
 fn print(outcome: &Outcome) {
     let s = &outcome.service;
     println!(
@@ -208,6 +216,13 @@
         let broken =
             if kinds.is_empty() { "kept".into() } else { format!("BROKEN ({})", kinds.join(", ")) };
         println!("  rule {:<8} {broken}; {} checked: {}", r.name, r.checked, r.about);
+        if !r.unknowing.is_empty() {
+            println!(
+                "    {} times by dispatchers that had not been told; first {}",
+                r.unknowing.len(),
+                r.unknowing[0].detail
+            );
+        }
         for b in r.breaches.iter().take(3) {
             let request = b.request.as_deref().unwrap_or("-");
             println!("    at {:.0} ms, {request}: {}", b.at_ms, b.detail);
--- /dev/null
+++ b/crates/host/src/lease.rs
@@ -0,0 +1,260 @@
+//! Leases of work: a member that has just started shares out what it bears while it warms up.
+//!
+//! Dispatchers that each take a part of a cold member's budget by a count that they guess are wrong together when the
+//! count is: one that joins, dies or is told late. The member knows who is connected, so it hands the budget out itself,
+//! in slots. Work that is granted but not used lapses with its slot, which is how a dispatcher that dies gives its part
+//! back; one that joins gets its first lease with the next slot.
+//!
+//! **The sum.** Grants come out of one bucket of at most [`Ledger::burst`], filled at a pace `r`. What is granted in any
+//! span `T` is at most `burst + r T`. Work granted in a slot arrives before the end of the next one (a lease lasts one
+//! slot; the way of a request is shorter than another), so what arrives in any window `W` was granted within
+//! `W + 2 slots`, and `r` is chosen so that `burst + r (W + 2 slots)` is the budget of a window that lies wholly in the
+//! least warm part of that span. No margin for chance is needed.
+//!
+//! Kept: one entry for each connection of a dispatcher, dropped when it ends; nothing once the member is warm.
+use pointspindle::{ColdRule, Micros};
+use std::collections::VecDeque;
+
+/// Slots in a window of the rule.
+const SLOTS: u64 = 8;
+/// Share of a window's budget that the bucket holds, unless one request needs more.
+const BURST: f64 = 0.25;
+
+/// A connection of a dispatcher, by the owner's number for it.
+pub type UserId = u64;
+
+/// What one user may have worked off for it until the next slot, in seconds of sending time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Grant {
+    pub user: UserId,
+    pub work: f64,
+    pub lasts: Micros,
+}
+
+/// Shares out the budget of one start of one member.
+#[derive(Debug)]
+pub struct Ledger {
+    rule: ColdRule,
+    /// Transfers at full pace that its link carries.
+    weight: f64,
+    started: Micros,
+    /// The dearest request that is to have a chance: less than this is not worth granting.
+    quantum: f64,
+    /// Who is next comes first.
+    users: VecDeque<UserId>,
+    bucket: f64,
+    /// Start of the slot that is running.
+    slot: Micros,
+    /// Granted in the slot before, granted in this one, and what has arrived since it began.
+    granted: (f64, f64),
+    arrived: f64,
+}
+
+impl Ledger {
+    /// For a process that started at `started`. `quantum` is the sending time of the dearest usual request, in seconds.
+    pub fn new(rule: ColdRule, weight: f64, started: Micros, quantum: f64) -> Self {
+        let users = VecDeque::new();
+        let (bucket, granted, arrived) = (0.0, (0.0, 0.0), 0.0);
+        Self { rule, weight, started, quantum, users, bucket, slot: started, granted, arrived }
+    }
+
+    pub fn slot_length(&self) -> Micros {
+        (self.rule.window / SLOTS).max(1)
+    }
+
+    /// Nothing is leased any more: what it bears is no longer bounded.
+    pub fn is_over(&self, now: Micros) -> bool {
+        now >= self.started + self.rule.warm_within + self.rule.window
+    }
+
+    /// When [`Ledger::turn`] is next wanted.
+    pub fn next_slot(&self) -> Micros {
+        self.slot + self.slot_length()
+    }
+
+    /// A dispatcher has connected. It has nothing until the next slot.
+    pub fn join(&mut self, user: UserId) -> Grant {
+        if !self.users.contains(&user) {
+            self.users.push_back(user);
+        }
+        Grant { user, work: 0.0, lasts: 2 * self.slot_length() }
+    }
+
+    /// A connection has ended: what it holds lapses with the slot.
+    pub fn leave(&mut self, user: UserId) {
+        self.users.retain(|u| *u != user);
+    }
+
+    pub fn users(&self) -> usize {
+        self.users.len()
+    }
+
+    /// Work has arrived. What comes beyond the leases is taken off the next slots.
+    pub fn took(&mut self, work: f64) {
+        self.arrived += work;
+    }
+
+    /// Budget of a window that ends `now`, in seconds of sending time.
+    fn budget(&self, now: Micros) -> f64 {
+        let from = now.saturating_sub(self.rule.window + 2 * self.slot_length()).max(self.started);
+        let warm = (from - self.started) as f64 / self.rule.warm_within.max(1) as f64;
+        let share = self.rule.start_share + (1.0 - self.rule.start_share) * warm.min(1.0);
+        self.rule.multiple * share.min(1.0) * self.weight * self.rule.window as f64 / 1e6
+    }
+
+    /// Most that the bucket holds.
+    pub fn burst(&self, now: Micros) -> f64 {
+        let budget = self.budget(now);
+        (BURST * budget).max(self.quantum).min(0.75 * budget)
+    }
+
+    /// Shares out the next slot. Call at [`Ledger::next_slot`] or soon after; slots that were missed are lost.
+    pub fn turn(&mut self, now: Micros) -> Vec<Grant> {
+        if now < self.next_slot() || self.is_over(now) {
+            return Vec::new();
+        }
+        let length = self.slot_length();
+        // Leases of the slot before may still arrive in this one: only what is beyond both is too much.
+        let beyond = (self.arrived - self.granted.0 - self.granted.1).max(0.0);
+        self.slot = now - (now - self.slot) % length;
+        let burst = self.burst(now);
+        let pace = (self.budget(now) - burst) / (self.rule.window + 2 * length) as f64;
+        // A slot late gives no more than a slot: the sum counts on it.
+        self.bucket = (self.bucket + pace * length as f64).min(burst) - beyond;
+        self.arrived = 0.0;
+        let mut grants = Vec::new();
+        let each = (self.bucket / self.users.len().max(1) as f64).max(self.quantum);
+        let mut given = 0.0;
+        // Too little for all is whole requests for some, in turn: a part of a request is of use to nobody. The others
+        // are told so, or they would fall back on a guess of their own.
+        let served =
+            (0..self.users.len()).take_while(|n| (n + 1) as f64 * each <= self.bucket + 1e-9).count();
+        for (n, user) in self.users.iter().enumerate() {
+            let work = if n < served { each } else { 0.0 };
+            given += work;
+            grants.push(Grant { user: *user, work, lasts: length });
+        }
+        self.users.rotate_left(served);
+        self.bucket -= given;
+        self.granted = (self.granted.1, given);
+        grants
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeMap;
+
+    const RULE: ColdRule =
+        ColdRule { start_share: 0.17, warm_within: 18_000_000, multiple: 2.0, window: 2_000_000 };
+
+    fn budget(from: Micros, weight: f64) -> f64 {
+        let share = RULE.start_share + (1.0 - RULE.start_share) * from as f64 / RULE.warm_within as f64;
+        RULE.multiple * share.min(1.0) * weight * RULE.window as f64 / 1e6
+    }
+
+    /// Every user works its lease off at the worst moment that is allowed: its very end, and one slot of way more.
+    fn worst(users: u64, quantum: f64, odd: impl Fn(&mut Ledger, u64)) -> (f64, BTreeMap<UserId, f64>) {
+        let mut ledger = Ledger::new(RULE, 6.29, 0, quantum);
+        for user in 0..users {
+            ledger.join(user);
+        }
+        let mut sent: Vec<(Micros, f64)> = Vec::new();
+        let mut by: BTreeMap<UserId, f64> = BTreeMap::new();
+        let mut round = 0;
+        while !ledger.is_over(ledger.next_slot()) {
+            let now = ledger.next_slot();
+            for (n, grant) in ledger.turn(now).into_iter().enumerate() {
+                // Some at once, some as late as can be: windows that straddle slots fill most.
+                let late = if n % 2 == 0 { 0 } else { grant.lasts + ledger.slot_length() - 1 };
+                sent.push((now + late, grant.work));
+                *by.entry(grant.user).or_default() += grant.work;
+            }
+            odd(&mut ledger, round);
+            round += 1;
+        }
+        sent.sort_by_key(|s| s.0);
+        let most = sent.iter().enumerate().map(|(n, (at, _))| {
+            let from = at.saturating_sub(RULE.window);
+            let sum: f64 = sent[..=n].iter().rev().take_while(|s| s.0 > from).map(|s| s.1).sum();
+            sum / budget(from, 6.29)
+        });
+        (most.fold(0.0, f64::max), by)
+    }
+
+    #[test]
+    fn no_window_gets_more_than_the_member_bears_and_most_of_it_is_given_out() {
+        for users in [1, 4, 7, 200] {
+            let (most, by) = worst(users, 0.4, |_, _| {});
+            assert!(most <= 1.0, "{users} users: {most:.3} of a window's budget");
+            let given: f64 = by.values().sum();
+            // The mean capacity of the warm-up, times the multiple.
+            let could = 2.0 * 6.29 * (0.17 + 1.0) / 2.0 * 18.0;
+            assert!(given > 0.5 * could, "{users} users: {given:.1} s of {could:.1} s");
+        }
+    }
+
+    #[test]
+    fn two_hundred_get_whole_requests_in_turn() {
+        let (_, by) = worst(200, 0.3, |_, _| {});
+        assert_eq!(by.len(), 200);
+        let (least, most) = by.values().fold((f64::MAX, 0.0_f64), |(a, b), v| (a.min(*v), b.max(*v)));
+        assert!(least > 0.29 && most - least < 0.31, "each had a turn, nobody two more: {least} to {most}");
+    }
+
+    #[test]
+    fn who_joins_and_leaves_all_the_time_changes_no_sum() {
+        let (most, _) = worst(3, 0.4, |ledger, round| {
+            ledger.leave(round % 3);
+            ledger.join(100 + round);
+            if round > 4 {
+                ledger.leave(100 + round - 4);
+            }
+            ledger.join(round % 3);
+        });
+        assert!(most <= 1.0, "{most:.3}");
+    }
+
+    #[test]
+    fn one_that_leaves_has_its_part_shared_by_the_next_slot_and_one_that_joins_waits_for_it() {
+        let mut ledger = Ledger::new(RULE, 60.0, 0, 0.1);
+        ledger.join(1);
+        ledger.join(2);
+        let both = ledger.turn(ledger.next_slot());
+        assert_eq!(both.len(), 2);
+        ledger.leave(1);
+        assert_eq!(ledger.join(3).work, 0.0);
+        let after = ledger.turn(ledger.next_slot());
+        let users: Vec<UserId> = after.iter().map(|g| g.user).collect();
+        assert_eq!(users, [2, 3]);
+    }
+
+    #[test]
+    fn work_beyond_the_leases_is_taken_off_later_ones() {
+        let mut ledger = Ledger::new(RULE, 6.29, 0, 0.1);
+        ledger.join(1);
+        let sum = |l: &mut Ledger| l.turn(l.next_slot()).iter().map(|g| g.work).sum::<f64>();
+        let usual = sum(&mut ledger);
+        ledger.took(usual + 2.0);
+        let mut missing = 0.0;
+        for _ in 0..20 {
+            missing += usual - sum(&mut ledger).min(usual);
+        }
+        assert!(missing > 1.5, "{missing:.2} s of 2 s beyond the lease were held back");
+    }
+
+    /// One request that needs more than three quarters of a window's budget cannot be leased while it does.
+    #[test]
+    fn a_request_larger_than_the_budget_waits_until_the_member_is_warm_enough() {
+        let mut ledger = Ledger::new(RULE, 1.0, 0, 1.0);
+        ledger.join(1);
+        let mut first = None;
+        while first.is_none() && !ledger.is_over(ledger.next_slot()) {
+            let now = ledger.next_slot();
+            first = ledger.turn(now).first().filter(|g| g.work > 0.0).map(|_| now);
+        }
+        let at = first.expect("granted in the end");
+        assert!(0.75 * budget(at, 1.0) >= 1.0 && at > 3_000_000, "first granted at {at}");
+    }
+}
--- a/crates/lab/src/model/host.rs
+++ b/crates/lab/src/model/host.rs
@@ -138,8 +138,12 @@
 
     /// Whether a copy from the origin at `birth` is from before a purge that this member knows.
     pub fn is_purged(&self, number: u64, group: u64, birth: Micros) -> bool {
-        let at = self.purged_objects.get(&number).max(self.purged_groups.get(&group));
-        at.is_some_and(|at| birth < *at)
+        self.purged(number, group).is_some_and(|at| birth < at)
+    }
+
+    /// The newest purge of an object that this member knows.
+    pub fn purged(&self, number: u64, group: u64) -> Option<Micros> {
+        self.purged_objects.get(&number).max(self.purged_groups.get(&group)).copied()
     }
 
     /// The next moment at which something happens by itself.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,7 +8,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 /// First bytes in each direction: magic, major version, minor version, two reserved.
-pub const PREFACE: [u8; 8] = *b"PSPN\x01\x00\x00\x00";
+pub const PREFACE: [u8; 8] = *b"PSPN\x01\x01\x00\x00";
 const MAJOR_AT: usize = 4;
 /// Length of a frame's head.
 pub const FRAME_HEAD: usize = 9;
@@ -35,6 +35,10 @@
     Purge(PurgeHead),
     Ack(AckHead),
     Probe(ProbeHead),
+    /// Who answers on this connection: its first frame.
+    Hello(HelloHead),
+    /// What a member that warms up takes from this connection for a while.
+    Lease(LeaseHead),
     /// Of a later minor version: skipped.
     Unknown(u8),
 }
@@ -68,6 +72,8 @@
     pub const PURGE: u8 = 10;
     pub const ACK: u8 = 11;
     pub const PROBE: u8 = 12;
+    pub const HELLO: u8 = 13;
+    pub const LEASE: u8 = 14;
 }
 
 fn most(kind: u8) -> usize {
@@ -160,6 +166,8 @@
         kind::PURGE => Frame::Purge(message(payload).map_err(bad)?),
         kind::ACK => Frame::Ack(message(payload).map_err(bad)?),
         kind::PROBE => Frame::Probe(message(payload).map_err(bad)?),
+        kind::HELLO => Frame::Hello(message(payload).map_err(bad)?),
+        kind::LEASE => Frame::Lease(message(payload).map_err(bad)?),
         other => Frame::Unknown(other),
     })
 }
@@ -216,6 +224,8 @@
             Frame::Purge(m) => put(kind::PURGE, 0, m),
             Frame::Ack(m) => put(kind::ACK, 0, m),
             Frame::Probe(m) => put(kind::PROBE, 0, m),
+            Frame::Hello(m) => put(kind::HELLO, 0, m),
+            Frame::Lease(m) => put(kind::LEASE, 0, m),
             Frame::Data(s, data) => {
                 head(kind::DATA, *s, data.len(), dst)?;
                 dst.put_slice(data);
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -289,3 +289,27 @@
     #[prost(message, optional, tag = "3")]
     pub load: Option<LoadReport>,
 }
+
+/// Who answers on a connection: the first frame of an answerer that has a process identity to tell. Since minor
+/// version 1; a peer of version 0 skips it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct HelloHead {
+    /// Drawn anew at each start of the process; never 0.
+    #[prost(uint64, tag = "1")]
+    pub process: u64,
+    /// How long ago it started; absent: it does not say.
+    #[prost(uint64, optional, tag = "2")]
+    pub started_ago_us: Option<u64>,
+}
+
+/// Work that a member which warms up takes from this connection, in place of what the receiver would have worked out for
+/// itself; it replaces the lease before it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct LeaseHead {
+    /// Sending time of answers, at the full pace of one transfer.
+    #[prost(uint64, tag = "1")]
+    pub work_us: u64,
+    /// It lapses after this.
+    #[prost(uint64, tag = "2")]
+    pub for_us: u64,
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -268,6 +268,19 @@
     /// A member has begun to answer: it lives, however long the rest takes. Optional for a host whose answers
     /// come whole; one that streams to slow clients tells it, or they would make the member look silent.
     Begun(MemberId),
+    /// A member's own word of its process, first on each connection to it: when it started, 0 for long ago. Optional:
+    /// without it restarts are known from lists, and guessed from refused connections.
+    Hello {
+        member: MemberId,
+        started: Micros,
+    },
+    /// What a cold member itself takes from this router for a while, in seconds of sending time: in place of the
+    /// router's own part of its budget, until the next one comes. Optional.
+    Lease {
+        member: MemberId,
+        work: f64,
+        lasts: Micros,
+    },
     Outcome(Outcome),
     /// The client has left.
     Hangup(RequestId),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,6 +53,13 @@
 const HOLD_LONGEST: Micros = 4_000 * MS;
 /// Share of a cold member's told budget that is spent: chance and late arrivals take the rest.
 const COLD_SHARE: f64 = 0.7;
+/// Connections refused over so long, with nothing under way and no word in between: no process is there, and
+/// what answers next is a new one. A single refusal, or cut connections, are no restart.
+const DOWN_LEAST: Micros = 250 * MS;
+/// A member that was silent and answers may be a new process: careful with it for so many windows.
+const UNSURE: Micros = 2;
+/// A lease without a next one is waited on for so many times its length: the connection may be gone.
+const LEASES_LOST: Micros = 3;
 /// Share by which one answer moves a cache's pace, the log of its time over the sending time (of hits only,
 /// where told); a cache slower than usual in the location by more than this factor weighs less by the rest.
 const PACE_STEP: f64 = 0.1;
@@ -90,6 +97,20 @@
     failed_at: Option<Micros>,
 }
 
+/// Whether a process is there, and since when, by what this router saw.
+#[derive(Debug, Clone, Default)]
+struct Presence {
+    /// Last word from it, and the first and last connection refused since.
+    heard: Micros,
+    refused: Option<(Micros, Micros)>,
+    /// Found silent since.
+    silent: bool,
+    /// When an outage that was seen began, and when it was heard again: until the list tells of that start.
+    back: Option<(Micros, Micros)>,
+    /// It was only silent: as likely paused as replaced.
+    unsure: bool,
+}
+
 #[derive(Debug, Clone)]
 struct Member {
     entry: MemberEntry,
@@ -101,12 +122,13 @@
     looks: u32,
     /// Requests under way that name it as the source.
     fills: u32,
-    /// Last word from it.
-    heard: Micros,
+    presence: Presence,
     /// Requests it may have under way before new ones go elsewhere or are refused.
     limit: f64,
     /// What was sent while it was cold: when, whose, sending time in seconds.
     spent: VecDeque<(Micros, RequestId, f64)>,
+    /// What it takes from this router by its own word: how much is left of it, since when, for how long.
+    lease: Option<(f64, Micros, Micros)>,
     /// Since when it is gone.
     gone: Option<Micros>,
 }
@@ -193,6 +215,39 @@
     even + CHANCE * (even * (1.0 - 1.0 / sharing)).sqrt()
 }
 
+impl Presence {
+    /// Word from it: a process is there, and a new one if there was none before.
+    fn word(&mut self, now: Micros) {
+        let down = self.refused.take().filter(|(first, last)| *last >= first + DOWN_LEAST);
+        if down.is_some() || self.silent {
+            let from = down.map_or(self.heard, |d| d.0);
+            (self.back, self.unsure) = (Some((from, now)), down.is_none());
+        }
+        (self.heard, self.silent) = (now, false);
+    }
+
+    /// A sign that no process is there, or not the one that was.
+    fn missed(&mut self, from: Micros, now: Micros) {
+        self.refused = Some((self.refused.map_or(from, |r| r.0), now));
+    }
+
+    /// A start is told: what was seen of an earlier one is void.
+    fn told(&mut self, started: Micros) {
+        self.refused = self.refused.filter(|r| r.1 >= started);
+        self.back = self.back.filter(|b| b.0 >= started);
+    }
+
+    /// Since when another process is there than before, as far as it was seen. Without one: not yet.
+    fn started(&self, now: Micros) -> Micros {
+        let down = self.refused.is_some_and(|(first, last)| last >= first + DOWN_LEAST);
+        if down {
+            now
+        } else {
+            self.back.map_or(0, |b| b.1)
+        }
+    }
+}
+
 impl Router {
     /// A router that knows nothing yet but its settings. The seed only spreads timers.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -232,7 +287,11 @@
             Event::Members { update, entries } => self.on_members(now, update, entries),
             Event::Request(req) => self.on_request(now, req, act),
             Event::Begun(member) => {
-                self.members.entry(member).and_modify(|m| m.heard = now);
+                self.members.entry(member).and_modify(|m| m.presence.word(now));
+            }
+            Event::Hello { member, started } => self.on_hello(now, member, started),
+            Event::Lease { member, work, lasts } => {
+                self.members.entry(member).and_modify(|m| m.lease = Some((work, now, lasts)));
             }
             Event::Outcome(outcome) => self.on_outcome(now, outcome, act),
             Event::Hangup(id) => self.close(id, act),
@@ -259,17 +318,23 @@
             entry.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             match self.members.get_mut(&entry.id) {
                 Some(m) => {
+                    // A start is never taken back: a list may be older than another word of it.
+                    entry.started = entry.started.max(m.entry.started);
                     if entry.started != m.entry.started {
                         m.health = Health::default();
+                        m.presence.told(entry.started);
                     }
                     m.entry = entry;
                 }
                 None => {
                     let (limit, health, spent) =
                         (LIMIT_FIRST * entry.weight, Health::default(), VecDeque::new());
-                    let (out, out_kb, looks, fills, heard) = (0, 0.0, 0, 0, 0);
-                    let gone = None;
-                    let m = Member { entry, health, out, out_kb, looks, fills, heard, limit, spent, gone };
+                    let (out, out_kb, looks, fills, presence) = (0, 0.0, 0, 0, Presence::default());
+                    let (lease, gone) = (None, None);
+                    #[rustfmt::skip]
+                    let m = Member {
+                        entry, health, out, out_kb, looks, fills, presence, limit, spent, lease, gone,
+                    };
                     self.members.insert(m.entry.id, m);
                 }
             }
@@ -277,6 +342,15 @@
         self.forget_gone(now);
     }
 
+    /// What was guessed of its process gives way to what it says.
+    fn on_hello(&mut self, now: Micros, id: MemberId, started: Micros) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        m.presence = Presence { heard: now, ..Presence::default() };
+        if started > m.entry.started {
+            (m.entry.started, m.health, m.lease) = (started, Health::default(), None);
+        }
+    }
+
     /// Every choice looks at each member, so those of past deploys would make requests dearer for ever. One
     /// that an open request has out, was filled from, or may have run at is kept: its zone and cell bound a
     /// resend.
@@ -436,6 +510,7 @@
                 m.out_kb += kb;
                 m.looks += stale_try as u32;
             }
+            m.lease.iter_mut().for_each(|lease| lease.0 -= seconds);
             m.spent.push_back((now, id, seconds));
             while m.spent.front().is_some_and(|s| s.0 + window <= now) {
                 m.spent.pop_front();
@@ -456,6 +531,7 @@
         let Some(o) = self.open.get_mut(&e.request) else { return };
         let Some(place) = o.out.iter().position(|out| out.attempt == e.attempt) else { return };
         let out = o.out.swap_remove(place);
+        let unsent = matches!(e.status, Status::ConnectFailed | Status::Moot);
         let proves_idle =
             matches!(e.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss);
         if !proves_idle && o.ran.is_none() {
@@ -470,10 +546,13 @@
             m.out = m.out.saturating_sub(1);
             m.looks = m.looks.saturating_sub(out.stale_try as u32);
             m.out_kb = (m.out_kb - kb.unwrap_or(1.0)).max(0.0);
+            if unsent {
+                m.spent.retain(|s| s.1 != e.request);
+            }
         }
         if let Some(m) = source.and_then(|s| self.members.get_mut(&s)) {
             m.fills = m.fills.saturating_sub(1);
-            if e.note == Note::Hit {
+            if e.note == Note::Hit || unsent {
                 // A hit never reached the source: its cold budget has it back.
                 m.spent.retain(|s| s.1 != e.request);
             }
@@ -561,10 +640,16 @@
 
     /// Whose failure an outcome is, and what it does to that member's standing.
     fn judge(&mut self, now: Micros, e: &Outcome, out: &Out, source: Option<MemberId>) -> Blame {
-        let quiet = self.members.get(&out.member).is_none_or(|m| m.heard < out.sent);
+        let quiet = self.members.get(&out.member).is_none_or(|m| m.presence.heard < out.sent);
         if !matches!(e.status, Status::Timeout | Status::Cancelled | Status::Moot | Status::ConnectFailed) {
             if let Some(m) = self.members.get_mut(&out.member) {
-                m.heard = now;
+                // A connection that breaks is the old process's end as well as a new one's.
+                // That of one that was silent is the peer's word that it knows nothing of it: another process.
+                match e.status {
+                    Status::Reset if m.presence.silent => m.presence.missed(m.presence.heard, now),
+                    Status::Reset => m.presence.heard = now,
+                    _ => m.presence.word(now),
+                }
             }
         }
         let error = e.status == Status::Error;
@@ -609,6 +694,9 @@
             }
             (Status::Full, _) | (_, Note::NoFillPlace) => Blame::Cache,
             (Status::ConnectFailed, _) => {
+                if let Some(m) = self.members.get_mut(&out.member).filter(|m| m.out == 0) {
+                    m.presence.missed(out.sent, now);
+                }
                 self.bad(now, out.member, MARK_HARD);
                 Blame::Cache
             }
@@ -665,7 +753,7 @@
         for o in self.open.values() {
             for out in o.out.iter().filter(|out| out.cancelled.is_none()) {
                 let due = out.sent + DUE + (DUE_STRETCH * 1e6 * self.seconds(&o.req)) as Micros;
-                let heard = self.members.get(&out.member).map_or(now, |m| m.heard);
+                let heard = self.members.get(&out.member).map_or(now, |m| m.presence.heard);
                 if now > due && heard < out.sent {
                     *overdue.entry(out.member).or_default() += 1;
                 }
@@ -674,6 +762,7 @@
         for (id, count) in overdue {
             let on_trial = self.members.get(&id).is_some_and(|m| m.health.mark >= MARK_TRUST);
             if count >= SILENT_COUNT || on_trial {
+                self.members.entry(id).and_modify(|m| m.presence.silent = true);
                 self.bad(now, id, MARK_HARD);
                 for (request, o) in self.open.iter_mut().filter(|_| self.set.may_cancel) {
                     if self.set.classes[o.req.class].repeat == Repeat::Unsafe {
@@ -787,15 +876,23 @@
     fn cold_room(&self, now: Micros, m: &Member, class: usize) -> bool {
         let parent = self.is_parent(m);
         let rule = if parent { &self.set.cold_parent } else { &self.set.cold_cache };
-        let warm_at = m.entry.started + rule.warm_within + rule.window;
-        if self.is_origin(m) || m.entry.started == 0 || now >= warm_at {
+        let seen = m.presence.started(now);
+        let started = m.entry.started.max(seen);
+        // Silence may have been a pause: if it was not, the list tells soon.
+        let doubt = m.presence.unsure && started == seen && now >= seen + UNSURE * rule.window;
+        let warm_at = if doubt { 0 } else { started + rule.warm_within + rule.window };
+        if self.is_origin(m) || started == 0 || now >= warm_at {
             return true;
         }
+        // Its own word stands in for the guess; a few leases late, it is lost.
+        if let Some((work, since, lasts)) = m.lease.filter(|l| now < l.1 + LEASES_LOST * l.2) {
+            return now < since + lasts && self.cost(class) <= work;
+        }
         if now < self.born.unwrap_or(now) + rule.window {
             return false;
         }
         let from = now.saturating_sub(rule.window);
-        let warm = from.saturating_sub(m.entry.started) as f64 / rule.warm_within.max(1) as f64;
+        let warm = from.saturating_sub(started) as f64 / rule.warm_within.max(1) as f64;
         let share = rule.start_share + (1.0 - rule.start_share) * warm.min(1.0);
         let mut budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
         if parent {
