--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,5 +1,5 @@
 //! `pointspindle lab`: rehearse days on loopback and judge them.
-use crate::Failure;
+use crate::{experiments, Failure};
 use pointspindle_lab::audit::Rule;
 use pointspindle_lab::day::{self, Outcome, Plant};
 use pointspindle_lab::import;
@@ -13,6 +13,16 @@
     /// Play a scenario on loopback sockets, dispatchers as processes. Exit status 1: a rule broke; 2: the rig
     /// could not run, or was itself what was late.
     Run(RunArguments),
+    /// Play many days in virtual time: seeds, and values of one or two settings. Exit status 1: a rule broke.
+    Sweep(experiments::SweepArguments),
+    /// Two settings, or two builds, on the same days: difference, noise, verdict. Exit status 1: B broke more rules.
+    Compare(experiments::CompareArguments),
+    /// Search trouble mixes for the worst day, a broken rule or fallen hosts, and cut the find down.
+    Hunt(experiments::HuntArguments),
+    /// Write the page of a kept run, or of two beside each other.
+    Report(experiments::ReportArguments),
+    /// Show everything that happened to a request of a kept run.
+    Explain(experiments::ExplainArguments),
     /// Check a scenario; names line and reason of everything that is wrong.
     Check { file: PathBuf },
     /// Turn a day drawn by a dispatcher bench (JSON) into a scenario, on standard output.
@@ -48,6 +58,9 @@
     /// In virtual time: the dispatchers' cores against the model, without sockets; the same for the same seed.
     #[arg(long = "virtual")]
     virtual_time: bool,
+    /// Keep the run here: scenario, figures, a report with plots.
+    #[arg(long)]
+    out: Option<PathBuf>,
     /// Where settings, states and logs of the dispatchers go; a temporary folder by default.
     #[arg(long)]
     folder: Option<PathBuf>,
@@ -62,6 +75,11 @@
 pub async fn run(command: Command) -> Result<(), Failure> {
     match command {
         Command::Run(arguments) => play(arguments).await,
+        Command::Sweep(arguments) => experiments::sweep(arguments),
+        Command::Compare(arguments) => experiments::compare(arguments),
+        Command::Hunt(arguments) => experiments::hunt(arguments),
+        Command::Report(arguments) => experiments::report(arguments),
+        Command::Explain(arguments) => experiments::explain(arguments),
         Command::Import { day, full } => {
             let text = std::fs::read_to_string(&day)?;
             let size = if full { import::Size::Full } else { import::Size::Loopback };
@@ -119,6 +137,7 @@
     }
     let outcome = outcome?;
     explain(&arguments, &outcome.sights)?;
+    keep(&arguments, &scenario, &outcome)?;
     if arguments.json {
         println!("{}", json(&scenario, &outcome));
     } else {
@@ -130,6 +149,12 @@
     Ok(())
 }
 
+fn keep(arguments: &RunArguments, scenario: &Scenario, outcome: &Outcome) -> Result<(), Failure> {
+    let Some(out) = &arguments.out else { return Ok(()) };
+    let run = experiments::record(scenario, &arguments.sets, arguments.virtual_time, outcome);
+    experiments::keep(out, &arguments.scenario, &run, &outcome.sights)
+}
+
 fn explain(arguments: &RunArguments, sights: &[Sight]) -> Result<(), Failure> {
     let Some(wanted) = &arguments.explain else { return Ok(()) };
     let id = TryId::parse(wanted).ok_or(format!("{wanted} names no request; one is called c12.0"))?;
@@ -149,6 +174,7 @@
     let cost = run.cost;
     explain(arguments, &run.sights)?;
     let outcome = Outcome { service: run.service, rules: run.rules, sights: run.sights, rig_late_ms: 0.0 };
+    keep(arguments, scenario, &outcome)?;
     if arguments.json {
         println!("{}", json(scenario, &outcome));
     } else {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit codes: 0 well, 1 the answer is no (a broken rule, wrong settings), 2 it could not run.
 mod control;
+mod experiments;
 mod lab;
 mod logs;
 mod serve;
--- a/crates/config/src/members.rs
+++ b/crates/config/src/members.rs
@@ -2,7 +2,9 @@
 use crate::reader::Reader;
 
 /// What a member is, in settings, lists and on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
 pub enum Role {
     Cache,
     Parent,
--- a/crates/lab/src/audit/drains.rs
+++ b/crates/lab/src/audit/drains.rs
@@ -11,7 +11,7 @@
     let late = e.scenario.rules.drain_grace + e.slack;
     for sight in e.sights {
         match &sight.saw {
-            Saw::ToldList { dispatcher, whole, ready, out: left } => {
+            Saw::ToldList { dispatcher, whole, ready, out: left, .. } => {
                 for host in ready {
                     out.remove(&(*dispatcher, host.clone()));
                 }
--- a/crates/lab/src/book.rs
+++ b/crates/lab/src/book.rs
@@ -185,7 +185,8 @@
         lines.iter().filter(fits).map(|l| l.address.clone()).collect()
     };
     let whole = form == ListForm::Full;
-    let saw = Saw::ToldList { dispatcher, whole, ready: of(true), out: of(false) };
+    let starts = lines.iter().filter(|l| l.listed == Listed::Ready).map(|l| l.start).collect();
+    let saw = Saw::ToldList { dispatcher, whole, ready: of(true), starts, out: of(false) };
     // Claims to have told of drains and did not.
     let hidden = plant == Some(Plant::Drain) && lines.iter().any(|l| l.listed == Listed::Draining);
     let line = |l: &Line| {
--- a/crates/lab/src/day/mod.rs
+++ b/crates/lab/src/day/mod.rs
@@ -289,6 +289,9 @@
             Step::PurgeObject { object, group } => {
                 purge(scenario, stage, news, Some(object.clone()), *group, plant);
             }
+            // Troubles may overlap: who is down is not killed again, who is up is not started.
+            Step::Kill { dispatcher } if !processes[*dispatcher].is_up() => {}
+            Step::Revive { dispatcher } if processes[*dispatcher].is_up() => {}
             Step::Kill { dispatcher } => {
                 recorder.saw(Saw::Killed { dispatcher: *dispatcher });
                 let _ = news.send(News::Down { dispatcher: *dispatcher });
--- a/crates/lab/src/day/process.rs
+++ b/crates/lab/src/day/process.rs
@@ -88,6 +88,10 @@
         Ok(())
     }
 
+    pub fn is_up(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// Kills it outright.
     pub async fn kill(&mut self) -> Result<(), RigError> {
         if let Some(mut child) = self.child.take() {
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -1,10 +1,11 @@
 //! What crossed the sockets, as clients, members and the control stand-in saw it: the auditor's only evidence.
 use pointspindle::Micros;
+use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
 /// Names a client's try wherever it goes: the call and the number of the try.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TryId {
     pub call: u64,
     pub try_no: u32,
@@ -22,7 +23,7 @@
 }
 
 /// How a try ended for its client.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum End {
     /// Complete; with the version that its bytes prove, none if they are wrong.
     Served {
@@ -43,7 +44,7 @@
 }
 
 /// How an attempt ended at a member's socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Left {
     Answered,
     Cancelled,
@@ -52,7 +53,7 @@
 }
 
 /// One thing seen.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Saw {
     Asked {
         id: TryId,
@@ -93,6 +94,8 @@
         dispatcher: usize,
         whole: bool,
         ready: Vec<String>,
+        /// Which start of each that is ready, in the same order.
+        starts: Vec<u64>,
         out: Vec<String>,
     },
     ToldPurge {
@@ -112,6 +115,8 @@
     Started {
         host: String,
         cold: bool,
+        /// Which start of this member it is.
+        start: u64,
     },
     Fell {
         host: String,
@@ -130,7 +135,7 @@
 }
 
 /// One sight with its time, microseconds since the run's start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sight {
     pub at: Micros,
     pub saw: Saw,
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -216,7 +216,8 @@
                 }
                 Out::Up { host } => {
                     let address = self.address(&locked.world, host);
-                    self.inner.recorder.saw(Saw::Started { host: address, cold: true });
+                    let start = locked.world.start(host).0;
+                    self.inner.recorder.saw(Saw::Started { host: address, cold: true, start });
                     let spec =
                         locked.world.hosts().find(|(id, _)| *id == host).map(|(_, s)| (s.role, s.weight));
                     let make = self.inner.options.hello.as_ref();
--- a/crates/lab/src/virt/sim.rs
+++ b/crates/lab/src/virt/sim.rs
@@ -429,7 +429,11 @@
         }
     }
 
+    /// Troubles may overlap: who is down is not killed again.
     fn kill(&mut self, n: usize) {
+        if !self.dispatchers[n].up {
+            return;
+        }
         self.saw(Saw::Killed { dispatcher: n });
         self.book.deafen(n);
         let life = self.dispatchers[n].life;
@@ -453,6 +457,9 @@
     }
 
     fn revive(&mut self, n: usize) {
+        if self.dispatchers[n].up {
+            return;
+        }
         let d = &mut self.dispatchers[n];
         d.life += 1;
         d.up = true;
@@ -559,7 +566,8 @@
             }
             Out::Up { host } => {
                 let address = self.address(host);
-                self.saw(Saw::Started { host: address, cold: true });
+                let start = self.world.start(host).0;
+                self.saw(Saw::Started { host: address, cold: true, start });
                 self.warms_up(host);
             }
             Out::Fill { host, fill, source, wanted } => {
--- /dev/null
+++ b/crates/report/src/record.rs
@@ -0,0 +1,211 @@
+//! What is kept of a run: figures, time series by second, the script's bands. No times of the machine, so that the same
+//! seed gives the same bytes.
+use hdrhistogram::Histogram;
+use pointspindle::Micros;
+use pointspindle_lab::audit::service::Service;
+use pointspindle_lab::audit::Rule;
+use pointspindle_lab::record::{End, Saw, Sight};
+use pointspindle_lab::scenario::script::{Kind, Trouble};
+use pointspindle_lab::scenario::{Change, Scenario};
+use pointspindle_lab::{day, virt};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Form of a run's file; another number: another form.
+pub const FORM: u32 = 1;
+
+/// A trouble of the script, for bands in plots. Seconds from the day's start.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Band {
+    pub name: String,
+    pub kind: String,
+    pub from_s: f64,
+    pub to_s: f64,
+}
+
+/// A member's load: work that reached it in each second, over what its link carries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Host {
+    pub address: String,
+    pub role: String,
+    pub zone: String,
+    pub load: Vec<f32>,
+    /// Seconds at which its process ended or began.
+    pub fell: Vec<f64>,
+    pub started: Vec<f64>,
+}
+
+/// How tries ended in a second, and how long the served ones took.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Second {
+    pub served: u64,
+    pub old: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    pub form: u32,
+    pub scenario: String,
+    pub about: String,
+    pub seed: u64,
+    pub seconds: f64,
+    pub warm_s: f64,
+    pub sets: Vec<Change>,
+    /// In virtual time, or on sockets.
+    pub in_virtual_time: bool,
+    pub service: Service,
+    pub rules: Vec<Rule>,
+    /// Members that were pushed over while cold, whoever knew of their start.
+    pub fallen: usize,
+    pub bands: Vec<Band>,
+    pub by_second: Vec<Second>,
+    pub hosts: Vec<Host>,
+}
+
+impl Run {
+    /// Plays a day in virtual time and keeps what it came to.
+    pub fn play(scenario: &Scenario, sets: &[Change]) -> Result<(Self, virt::Outcome), String> {
+        let outcome = virt::run(scenario, None)?;
+        Ok((Self::new(scenario, sets, true, &outcome.service, &outcome.rules, &outcome.sights), outcome))
+    }
+
+    pub fn of_day(scenario: &Scenario, sets: &[Change], outcome: &day::Outcome) -> Self {
+        Self::new(scenario, sets, false, &outcome.service, &outcome.rules, &outcome.sights)
+    }
+
+    pub fn new(
+        scenario: &Scenario,
+        sets: &[Change],
+        in_virtual_time: bool,
+        service: &Service,
+        rules: &[Rule],
+        sights: &[Sight],
+    ) -> Self {
+        let band = |t: &Trouble| Band {
+            name: t.name.clone(),
+            kind: t.kind.word().into(),
+            from_s: t.at as f64 / 1e6,
+            to_s: (t.at + span(t)) as f64 / 1e6,
+        };
+        let fell = |s: &&Sight| matches!(&s.saw, Saw::Fell { why, .. } if why.contains("cold"));
+        Self {
+            form: FORM,
+            scenario: scenario.name.clone(),
+            about: scenario.about.clone(),
+            seed: scenario.seed,
+            seconds: scenario.seconds,
+            warm_s: scenario.warm as f64 / 1e6,
+            sets: sets.to_vec(),
+            in_virtual_time,
+            service: service.clone(),
+            rules: rules.to_vec(),
+            fallen: sights.iter().filter(fell).count(),
+            bands: scenario.troubles.iter().map(band).collect(),
+            by_second: seconds(scenario, sights),
+            hosts: hosts(scenario, sights),
+        }
+    }
+
+    pub fn breaches(&self) -> usize {
+        self.rules.iter().map(|r| r.breaches.len()).sum()
+    }
+
+    /// Of one kind of rule.
+    pub fn breaches_of(&self, rule: &str) -> usize {
+        self.rules.iter().filter(|r| r.name == rule).map(|r| r.breaches.len()).sum()
+    }
+}
+
+/// How long a trouble strikes; some kinds have no length of their own.
+fn span(t: &Trouble) -> Micros {
+    match t.kind {
+        Kind::Purge => 0,
+        Kind::HubRestart => t.down,
+        Kind::RollingRestart | Kind::KillDispatchers | Kind::Ageing => t.length + t.down,
+        _ => t.length,
+    }
+}
+
+fn seconds(scenario: &Scenario, sights: &[Sight]) -> Vec<Second> {
+    let count = scenario.seconds.ceil() as usize;
+    let blank = || Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).expect("fixed bounds");
+    let mut out = vec![Second::default(); count];
+    let mut times: Vec<Histogram<u64>> = (0..count).map(|_| blank()).collect();
+    let mut asked = HashMap::new();
+    for sight in sights {
+        match &sight.saw {
+            Saw::Asked { id, .. } => {
+                asked.insert(*id, sight.at);
+            }
+            Saw::Ended { id, end } => {
+                let Some(began) = asked.remove(id) else { continue };
+                // By the second in which it was asked for: a late answer belongs to its cause.
+                let Some(second) = out.get_mut((began / 1_000_000) as usize) else { continue };
+                match end {
+                    End::Served { version: Some(_), old, .. } => {
+                        second.served += 1;
+                        second.old += *old as u64;
+                        let took = sight.at.saturating_sub(began).max(1);
+                        let _ = times[(began / 1_000_000) as usize].record(took);
+                    }
+                    End::Refused { .. } => second.refused += 1,
+                    End::LeftEarly => {}
+                    _ => second.failed += 1,
+                }
+            }
+            _ => {}
+        }
+    }
+    for (second, times) in out.iter_mut().zip(&times) {
+        second.p50_ms = times.value_at_quantile(0.5) as f64 / 1e3;
+        second.p99_ms = times.value_at_quantile(0.99) as f64 / 1e3;
+    }
+    out
+}
+
+fn hosts(scenario: &Scenario, sights: &[Sight]) -> Vec<Host> {
+    let zones = scenario.zones();
+    let models = scenario.class_models();
+    let count = scenario.seconds.ceil() as usize;
+    let mut places: HashMap<&str, (usize, f64)> = HashMap::new();
+    let mut out: Vec<Host> = Vec::new();
+    for sight in sights {
+        let at = sight.at as f64 / 1e6;
+        match &sight.saw {
+            Saw::Member { host, role, zone, weight } => {
+                places.insert(host, (out.len(), *weight));
+                out.push(Host {
+                    address: host.clone(),
+                    role: role.word().into(),
+                    zone: zones.get(*zone).cloned().unwrap_or_default(),
+                    load: vec![0.0; count],
+                    fell: Vec::new(),
+                    started: Vec::new(),
+                });
+            }
+            Saw::Reached { host, class, .. } => {
+                let Some((place, weight)) = places.get(host.as_str()) else { continue };
+                let work = models.get(*class).map_or(0.0, |c| c.mean as f64 / 1e6);
+                if let Some(load) = out[*place].load.get_mut(at as usize) {
+                    *load += (work / weight.max(1e-6)) as f32;
+                }
+            }
+            Saw::Fell { host, .. } => {
+                if let Some((place, _)) = places.get(host.as_str()) {
+                    out[*place].fell.push(at);
+                }
+            }
+            Saw::Started { host, cold: true, .. } => {
+                if let Some((place, _)) = places.get(host.as_str()) {
+                    out[*place].started.push(at);
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -547,14 +547,14 @@
             m.looks = m.looks.saturating_sub(out.stale_try as u32);
             m.out_kb = (m.out_kb - kb.unwrap_or(1.0)).max(0.0);
             if unsent {
-                m.spent.retain(|s| s.1 != e.request);
+                m.spent.retain(|s| (s.0, s.1) != (out.sent, e.request));
             }
         }
         if let Some(m) = source.and_then(|s| self.members.get_mut(&s)) {
             m.fills = m.fills.saturating_sub(1);
             if e.note == Note::Hit || unsent {
-                // A hit never reached the source: its cold budget has it back.
-                m.spent.retain(|s| s.1 != e.request);
+                // A hit never reached the source: its cold budget has it back, and no other attempt's.
+                m.spent.retain(|s| (s.0, s.1) != (out.sent, e.request));
             }
         }
         if e.status == Status::Ok {
@@ -877,10 +877,10 @@
         let parent = self.is_parent(m);
         let rule = if parent { &self.set.cold_parent } else { &self.set.cold_cache };
         let seen = m.presence.started(now);
-        let started = m.entry.started.max(seen);
-        // Silence may have been a pause: if it was not, the list tells soon.
-        let doubt = m.presence.unsure && started == seen && now >= seen + UNSURE * rule.window;
-        let warm_at = if doubt { 0 } else { started + rule.warm_within + rule.window };
+        // Silence may have been a pause: if it was not, the list tells soon, and what it told before still holds.
+        let pause = m.presence.unsure && now >= seen + UNSURE * rule.window;
+        let started = if pause { m.entry.started } else { m.entry.started.max(seen) };
+        let warm_at = started + rule.warm_within + rule.window;
         if self.is_origin(m) || started == 0 || now >= warm_at {
             return true;
         }
