--- a/src/logic.rs
+++ b/src/logic.rs
@@ -644,7 +644,7 @@
         if !matches!(e.status, Status::Timeout | Status::Cancelled | Status::Moot | Status::ConnectFailed) {
             if let Some(m) = self.members.get_mut(&out.member) {
                 // A connection that breaks is the old process's end as well as a new one's.
-                // That of one that was silent is the peer's word that it knows nothing of it: another process.
+                // That of a silent one is its peer's word that it knows nothing of it: another process.
                 match e.status {
                     Status::Reset if m.presence.silent => m.presence.missed(m.presence.heard, now),
                     Status::Reset => m.presence.heard = now,
@@ -877,7 +877,7 @@
         let parent = self.is_parent(m);
         let rule = if parent { &self.set.cold_parent } else { &self.set.cold_cache };
         let seen = m.presence.started(now);
-        // Silence may have been a pause: if it was not, the list tells soon, and what it told before still holds.
+        // Silence may have been a pause: else the list tells soon. What it told before still holds.
         let pause = m.presence.unsure && now >= seen + UNSURE * rule.window;
         let started = if pause { m.entry.started } else { m.entry.started.max(seen) };
         let warm_at = started + rule.warm_within + rule.window;
