Second reading: twins made one, a crowd from one address no longer searched for

Need: read once more, the change held twins (the wording of a grant, the count of fallen hosts, the chart's axes), state that a return value says (what a hello brought back), a function that nothing called, a scenario parsed twice to explain a request, made-up settings to name two rows, and a search through all idle connections for each newcomer of a full address.

Change: each has one place; admission keeps an address's own idle connections in order. Behaviour stays.

--- a/crates/cli/src/experiments.rs
+++ b/crates/cli/src/experiments.rs
@@ -1,9 +1,8 @@
 //! `pointspindle lab` beyond one run: sweeps, comparisons, hunts, and what is kept of runs.
 use crate::Failure;
 use pointspindle_lab::record::TryId;
-use pointspindle_lab::scenario::{self, Change, Scenario};
+use pointspindle_lab::scenario::{self, Change};
 use pointspindle_report::compare::{self, Figures, Pair};
-use pointspindle_report::record::Run;
 use pointspindle_report::sweep::{self, Cell, Source, Vary};
 use pointspindle_report::{folder, html, hunt};
 use std::io::Write;
@@ -187,21 +186,8 @@
     if let Some(out) = &a.out {
         std::fs::create_dir_all(out)?;
         std::fs::write(out.join("pairs.json"), serde_json::to_vec_pretty(&pairs)?)?;
-        let played = |b: bool| {
-            let of = |p: &Pair| sweep::Played {
-                cell: Cell {
-                    seed: 0,
-                    sets: vec![Change {
-                        section: "way".into(),
-                        key: "is".into(),
-                        value: if b { "B" } else { "A" }.into(),
-                    }],
-                },
-                figures: if b { p.b } else { p.a },
-            };
-            pairs.iter().map(of).collect::<Vec<_>>()
-        };
-        let rows = sweep::rows(&[played(false), played(true)].concat());
+        let figures = |of: fn(&Pair) -> Figures| pairs.iter().map(of).collect::<Vec<Figures>>();
+        let rows = [sweep::row("A".into(), &figures(|p| p.a)), sweep::row("B".into(), &figures(|p| p.b))];
         std::fs::write(out.join("report.html"), html::sweep("A and B on the same days", &rows, &words)?)?;
         println!("{}", out.join("report.html").display());
     }
@@ -311,25 +297,3 @@
     }
     Ok(())
 }
-
-/// Keeps a run that has just been played.
-pub fn keep(
-    out: &Path,
-    scenario: &Path,
-    run: &Run,
-    sights: &[pointspindle_lab::record::Sight],
-) -> Result<(), Failure> {
-    folder::keep(out, &std::fs::read_to_string(scenario)?, run, sights)?;
-    println!("{}", out.join("report.html").display());
-    Ok(())
-}
-
-/// The figures of a run as it is kept.
-pub fn record(
-    s: &Scenario,
-    sets: &[Change],
-    virtual_time: bool,
-    outcome: &pointspindle_lab::day::Outcome,
-) -> Run {
-    Run::new(s, sets, virtual_time, &outcome.service, &outcome.rules, &outcome.sights)
-}
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,11 +1,13 @@
 //! `pointspindle lab`: rehearse days on loopback and judge them.
 use crate::{experiments, Failure};
-use pointspindle_lab::audit::Rule;
+use pointspindle_lab::audit::{fallen, Rule};
 use pointspindle_lab::day::{self, Outcome, Plant};
 use pointspindle_lab::import;
-use pointspindle_lab::record::{trail, Saw, Sight, TryId};
+use pointspindle_lab::record::{trail, Sight, TryId};
 use pointspindle_lab::scenario::{self, Change, Scenario};
 use pointspindle_lab::virt;
+use pointspindle_report::folder;
+use pointspindle_report::record::Run;
 use std::path::PathBuf;
 
 #[derive(clap::Subcommand)]
@@ -151,8 +153,11 @@
 
 fn keep(arguments: &RunArguments, scenario: &Scenario, outcome: &Outcome) -> Result<(), Failure> {
     let Some(out) = &arguments.out else { return Ok(()) };
-    let run = experiments::record(scenario, &arguments.sets, arguments.virtual_time, outcome);
-    experiments::keep(out, &arguments.scenario, &run, &outcome.sights)
+    let Outcome { service, rules, sights, .. } = outcome;
+    let run = Run::new(scenario, &arguments.sets, arguments.virtual_time, service, rules, sights);
+    folder::keep(out, &std::fs::read_to_string(&arguments.scenario)?, &run, sights)?;
+    println!("{}", out.join("report.html").display());
+    Ok(())
 }
 
 fn explain(arguments: &RunArguments, sights: &[Sight]) -> Result<(), Failure> {
@@ -215,19 +220,13 @@
         "classes": s.classes,
         "tries": s.tries,
         "attempts": s.attempts,
-        "fallen": fallen(outcome),
+        "fallen": fallen(&outcome.sights),
         "rig_late_ms": outcome.rig_late_ms,
         "rules": outcome.rules.iter().map(rule).collect::<Vec<_>>(),
     })
     .to_string()
 }
 
-/// Members that were pushed over while cold, whoever knew of their start.
-fn fallen(outcome: &Outcome) -> usize {
-    let cold = |s: &&Sight| matches!(&s.saw, Saw::Fell { why, .. } if why.contains("cold"));
-    outcome.sights.iter().filter(cold).count()
-}
-
 fn print(outcome: &Outcome) {
     let s = &outcome.service;
     println!(
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -41,12 +41,19 @@
     closing: bool,
 }
 
+/// Of one client address: how many are open, and which of them are idle, longest first.
+#[derive(Debug, Default)]
+struct Address {
+    open: usize,
+    idle: BTreeSet<(Micros, ConnectionId)>,
+}
+
 #[derive(Debug)]
 pub struct Admission {
     limits: Limits,
     next: ConnectionId,
     open: BTreeMap<ConnectionId, Connection>,
-    by_address: HashMap<IpAddr, usize>,
+    by_address: HashMap<IpAddr, Address>,
     /// Longest idle first; without those told to close.
     idle: BTreeSet<(Micros, ConnectionId)>,
     closing: usize,
@@ -71,19 +78,13 @@
         self.open.len()
     }
 
-    pub fn idle_count(&self) -> usize {
-        self.idle.len()
-    }
-
     /// A client has connected; and which connections to close.
     pub fn arrive(&mut self, now: Micros, address: IpAddr) -> (Verdict, Vec<ConnectionId>) {
         let mut close = Vec::new();
-        let mine = self.by_address.get(&address).copied().unwrap_or(0);
-        if mine >= self.limits.per_address {
+        if self.by_address.get(&address).map_or(0, |a| a.open) >= self.limits.per_address {
             // Its own longest idle one makes room; another address's does not.
-            let own =
-                |(_, id): &&(Micros, ConnectionId)| self.open.get(id).is_some_and(|c| c.address == address);
-            let Some((_, id)) = self.idle.iter().find(own).copied() else {
+            let own = self.by_address.get(&address).and_then(|a| a.idle.first());
+            let Some((_, id)) = own.copied() else {
                 return (self.turn_away(now), close);
             };
             self.tell_to_close(id, &mut close);
@@ -96,13 +97,26 @@
         self.next += 1;
         let connection = Connection { address, idle_since: Some(now), closing: false };
         self.open.insert(self.next, connection);
-        *self.by_address.entry(address).or_default() += 1;
+        self.by_address.entry(address).or_default().open += 1;
         // The newcomer is not what makes room for itself.
         self.trim(self.limits.soft, &mut close);
-        self.idle.insert((now, self.next));
+        self.rest(address, (now, self.next));
         (Verdict::Take(self.next), close)
     }
 
+    /// Among those that may be told to close, or not any more.
+    fn rest(&mut self, address: IpAddr, idle: (Micros, ConnectionId)) {
+        self.idle.insert(idle);
+        self.by_address.entry(address).or_default().idle.insert(idle);
+    }
+
+    fn unrest(&mut self, address: IpAddr, idle: (Micros, ConnectionId)) {
+        self.idle.remove(&idle);
+        if let Some(a) = self.by_address.get_mut(&address) {
+            a.idle.remove(&idle);
+        }
+    }
+
     fn turn_away(&mut self, now: Micros) -> Verdict {
         if now >= self.turned.0 + 1_000_000 {
             self.turned = (now, 0);
@@ -120,13 +134,13 @@
     }
 
     fn tell_to_close(&mut self, id: ConnectionId, close: &mut Vec<ConnectionId>) {
-        if let Some(c) = self.open.get_mut(&id).filter(|c| !c.closing) {
-            c.closing = true;
-            self.closing += 1;
-            if let Some(since) = c.idle_since {
-                self.idle.remove(&(since, id));
-            }
-            close.push(id);
+        let Some(c) = self.open.get_mut(&id).filter(|c| !c.closing) else { return };
+        c.closing = true;
+        self.closing += 1;
+        close.push(id);
+        let (address, since) = (c.address, c.idle_since);
+        if let Some(since) = since {
+            self.unrest(address, (since, id));
         }
     }
 
@@ -143,8 +157,9 @@
     /// after that.
     pub fn busy(&mut self, id: ConnectionId) {
         let Some(c) = self.open.get_mut(&id) else { return };
+        let address = c.address;
         if let Some(since) = c.idle_since.take() {
-            self.idle.remove(&(since, id));
+            self.unrest(address, (since, id));
         }
     }
 
@@ -152,19 +167,20 @@
         let Some(c) = self.open.get_mut(&id).filter(|c| c.idle_since.is_none()) else { return };
         c.idle_since = Some(now);
         if !c.closing {
-            self.idle.insert((now, id));
+            let address = c.address;
+            self.rest(address, (now, id));
         }
     }
 
     pub fn closed(&mut self, id: ConnectionId) {
         let Some(c) = self.open.remove(&id) else { return };
         if let Some(since) = c.idle_since {
-            self.idle.remove(&(since, id));
+            self.unrest(c.address, (since, id));
         }
         self.closing -= c.closing as usize;
-        if let Some(count) = self.by_address.get_mut(&c.address) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(address) = self.by_address.get_mut(&c.address) {
+            address.open -= 1;
+            if address.open == 0 {
                 self.by_address.remove(&c.address);
             }
         }
@@ -242,16 +258,13 @@
         let mut a = Admission::new(Limits { hard: 100, soft: 100, per_address: 3 });
         let (other, _) = take(&mut a, 0, 2);
         let ids: Vec<ConnectionId> = (1..=3).map(|n| take(&mut a, n, 1).0).collect();
-        let (_, close) = take(&mut a, 10, 1);
+        let (newest, close) = take(&mut a, 10, 1);
         assert_eq!(close, [ids[0]], "not {other}, which has been idle for longer");
         a.closed(ids[0]);
         a.busy(ids[1]);
         a.busy(ids[2]);
-        let (verdict, close) = {
-            let (newest, _) = (4 + 1, 0);
-            a.busy(newest);
-            a.arrive(20, from(1))
-        };
+        a.busy(newest);
+        let (verdict, close) = a.arrive(20, from(1));
         assert!(matches!(verdict, Verdict::TurnAway { .. }) && close.is_empty(), "{verdict:?} {close:?}");
     }
 
--- a/crates/edge/src/net/hub.rs
+++ b/crates/edge/src/net/hub.rs
@@ -32,7 +32,13 @@
     /// When the timer task wakes by itself.
     armed: Option<Micros>,
     next: u64,
-    /// What the last hello said.
+}
+
+/// What the core answers an input with, beside orders.
+#[derive(Debug, Default)]
+struct News {
+    list: Option<ListNews>,
+    /// Another process was at the address of a hello before.
     replaced: bool,
 }
 
@@ -51,8 +57,7 @@
 impl Hub {
     pub fn new(settings: Arc<EdgeSettings>, seed: u64) -> Self {
         let core = Core::new(&settings, seed);
-        let locked =
-            Locked { core, orders: HashMap::new(), out: Vec::new(), armed: None, next: 0, replaced: false };
+        let locked = Locked { core, orders: HashMap::new(), out: Vec::new(), armed: None, next: 0 };
         Self {
             locked: Mutex::new(locked),
             born: Instant::now(),
@@ -104,7 +109,7 @@
 
     pub fn members(&self, head: ListHead) -> ListNews {
         let news = self.handle(self.lock(), Input::Members(head));
-        let news = news.expect("a list update always tells what became of it");
+        let news = news.list.expect("a list update always tells what became of it");
         self.metrics.list.set(news.seq as i64);
         for bad in &news.bad {
             tracing::warn!(line = %bad, "a line of the member list is not used");
@@ -116,10 +121,7 @@
     /// True if another process was at this address before.
     pub fn hello(&self, member: &str, hello: HelloHead) -> bool {
         let input = Input::Hello { member: member.to_owned(), hello };
-        let mut locked = self.lock();
-        locked.replaced = false;
-        self.handle_keeping(&mut locked, input);
-        locked.replaced
+        self.handle(self.lock(), input).replaced
     }
 
     pub fn purge(&self, head: PurgeHead) {
@@ -154,15 +156,11 @@
     }
 
     /// Handles an input and hands the orders out, under the lock so that their order is the core's.
-    fn handle(&self, mut locked: MutexGuard<'_, Locked>, input: Input) -> Option<ListNews> {
-        self.handle_keeping(&mut locked, input)
-    }
-
-    fn handle_keeping(&self, locked: &mut Locked, input: Input) -> Option<ListNews> {
+    fn handle(&self, mut locked: MutexGuard<'_, Locked>, input: Input) -> News {
         let now = self.now();
         let mut out = std::mem::take(&mut locked.out);
         locked.core.handle(now, input, &mut out);
-        let mut news = None;
+        let mut news = News::default();
         for output in out.drain(..) {
             let (id, order) = match output {
                 Output::Send { request, attempt, member, timeout, fetch } => {
@@ -174,11 +172,11 @@
                 Output::Fail { request } => (request, Order::Fail),
                 Output::Break { request } => (request, Order::Break),
                 Output::Hello { replaced } => {
-                    locked.replaced = replaced;
+                    news.replaced = replaced;
                     continue;
                 }
                 Output::List(told) => {
-                    news = Some(told);
+                    news.list = Some(told);
                     continue;
                 }
             };
--- a/crates/edge/src/net/upstream.rs
+++ b/crates/edge/src/net/upstream.rs
@@ -16,9 +16,11 @@
 #[derive(Clone, Debug)]
 enum Slot {
     Connecting,
-    Ready(Link),
-    /// Open, and another process than before answers: what waited for this connection was meant for the old one.
-    Replaced(Link),
+    /// Open; `replaced`: another process than before answers, and what waited was meant for the old one.
+    Ready {
+        link: Link,
+        replaced: bool,
+    },
     Failed(String),
 }
 
@@ -83,8 +85,8 @@
         };
         let slot = slot.wait_for(|slot| !matches!(slot, Slot::Connecting)).await;
         match slot.as_deref() {
-            Ok(Slot::Replaced(_)) if waited => Err(NoLink::Replaced),
-            Ok(Slot::Ready(link) | Slot::Replaced(link)) => Ok(link.clone()),
+            Ok(Slot::Ready { replaced: true, .. }) if waited => Err(NoLink::Replaced),
+            Ok(Slot::Ready { link, .. }) => Ok(link.clone()),
             Ok(Slot::Failed(why)) => Err(NoLink::Failed(why.clone())),
             _ => Err(NoLink::Failed("connecting was given up".into())),
         }
@@ -93,7 +95,7 @@
     fn is_spent(&self, slot: &Slot) -> bool {
         match slot {
             Slot::Connecting => false,
-            Slot::Ready(link) | Slot::Replaced(link) => !link.takes_calls(),
+            Slot::Ready { link, .. } => !link.takes_calls(),
             Slot::Failed(_) => true,
         }
     }
@@ -110,7 +112,7 @@
             if self.is_spent(&slot) {
                 return false;
             }
-            let (Slot::Ready(link) | Slot::Replaced(link)) = &*slot else { return true };
+            let Slot::Ready { link, .. } = &*slot else { return true };
             let unused = link.open_streams() == 0 && entry.used.elapsed() > idle;
             if unused {
                 link.close("unused");
@@ -148,38 +150,33 @@
     // So that a member which warms up knows whom to lease its work to.
     let own = HelloHead { process: pool.process, started_ago_us: None, dispatcher: true };
     let _ = link.control(Frame::Hello(own)).await;
-    let mut first = None;
+    let mut replaced = false;
     if pool.greeted().contains_key(&address) {
         // It will say who it is: nothing goes out before that, or a process that has just started would get what was
         // decided for the one before. One that says nothing in time is as one that never did.
         let wait = Duration::from_micros(pool.settings.hello_us);
-        first = tokio::time::timeout(wait, incoming.next()).await.ok().flatten();
+        let first = tokio::time::timeout(wait, incoming.next()).await.ok().flatten();
         if !matches!(first, Some(Inbound::Control(Frame::Hello(_)))) {
             pool.greeted().remove(&address);
         }
+        replaced = first.is_some_and(|first| heard(&hub, &address, first));
     }
-    let mut replaced = false;
-    if let Some(Inbound::Control(Frame::Hello(hello))) = &first {
-        replaced = greet(&hub, &address, *hello);
-        first = None;
+    sender.send_replace(Slot::Ready { link, replaced });
+    while let Some(inbound) = incoming.next().await {
+        heard(&hub, &address, inbound);
     }
-    sender.send_replace(if replaced { Slot::Replaced(link.clone()) } else { Slot::Ready(link.clone()) });
-    loop {
-        // Members ask nothing of a dispatcher; a go-away is noted by the link itself.
-        let next = match first.take() {
-            Some(first) => Some(first),
-            None => incoming.next().await,
-        };
-        match next {
-            None => return,
-            Some(Inbound::Control(Frame::Hello(hello))) => {
-                greet(&hub, &address, hello);
-            }
-            Some(Inbound::Control(Frame::Lease(lease))) => {
-                hub.tell(Input::Lease { member: address.clone(), lease });
-            }
-            Some(_) => {}
+}
+
+/// Members ask nothing of a dispatcher; a go-away is noted by the link itself. True for the hello of another process
+/// than was there before.
+fn heard(hub: &Arc<Hub>, address: &str, inbound: Inbound) -> bool {
+    match inbound {
+        Inbound::Control(Frame::Hello(hello)) => greet(hub, address, hello),
+        Inbound::Control(Frame::Lease(lease)) => {
+            hub.tell(Input::Lease { member: address.to_owned(), lease });
+            false
         }
+        _ => false,
     }
 }
 
--- a/crates/lab/src/audit/mod.rs
+++ b/crates/lab/src/audit/mod.rs
@@ -174,6 +174,12 @@
     }
 }
 
+/// Members that were pushed over while cold, whoever knew of their start.
+pub fn fallen(sights: &[Sight]) -> usize {
+    let cold = |s: &&Sight| matches!(&s.saw, Saw::Fell { why, .. } if why.contains("cold"));
+    sights.iter().filter(cold).count()
+}
+
 /// All five rules over a run. `effects` says how often each piece of work has run, as the origin counted.
 pub fn judge(scenario: &Scenario, sights: &[Sight], effects: &[(String, u32)]) -> Vec<Rule> {
     let evidence = Evidence::new(scenario, sights);
--- a/crates/lab/src/model/world/mod.rs
+++ b/crates/lab/src/model/world/mod.rs
@@ -93,6 +93,10 @@
         self.hosts.iter().map(|h| &h.spec).enumerate()
     }
 
+    pub fn spec(&self, host: HostId) -> &HostSpec {
+        &self.hosts[host].spec
+    }
+
     pub fn host_of(&self, address: &str) -> Option<HostId> {
         self.addresses.get(address).copied()
     }
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -2,6 +2,6 @@
 mod fills;
 mod member;
 mod stage;
-mod words;
+pub(crate) mod words;
 
 pub use stage::{Ledgers, Stage, StageOptions, EPOCH};
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -1,4 +1,5 @@
 //! The world behind a lock, its clock, and the way of what it wants to the sockets' tasks.
+use super::words::lease;
 use super::{fills, member};
 use crate::model::*;
 use crate::record::{Recorder, Saw};
@@ -218,11 +219,9 @@
                     let address = self.address(&locked.world, host);
                     let start = locked.world.start(host).0;
                     self.inner.recorder.saw(Saw::Started { host: address, cold: true, start });
-                    let spec =
-                        locked.world.hosts().find(|(id, _)| *id == host).map(|(_, s)| (s.role, s.weight));
+                    let (role, weight) = (locked.world.spec(host).role, locked.world.spec(host).weight);
                     let make = self.inner.options.hello.as_ref();
-                    let ledger =
-                        spec.and_then(|(role, weight)| make.and_then(|m| (m.0)(role, weight, now)));
+                    let ledger = make.and_then(|make| (make.0)(role, weight, now));
                     if let Some(ledger) = ledger {
                         locked.ledgers.insert(host, (ledger, HashMap::new()));
                         tokio::spawn(lease_out(self.clone(), host, locked.world.start(host).0));
@@ -293,7 +292,7 @@
     }
 
     fn address(&self, world: &World, host: HostId) -> String {
-        world.hosts().find(|(id, _)| *id == host).map(|(_, spec)| spec.address.clone()).unwrap_or_default()
+        world.spec(host).address.clone()
     }
 
     pub fn address_of(&self, host: HostId) -> String {
@@ -360,10 +359,6 @@
     }
 }
 
-fn lease(grant: &Grant) -> LeaseHead {
-    LeaseHead { work_us: (grant.work * 1e6) as u64, for_us: grant.lasts }
-}
-
 /// Tells leases slot by slot while a start of a member warms up.
 async fn lease_out(stage: Stage, host: HostId, start: u64) {
     loop {
--- a/crates/lab/src/sockets/words.rs
+++ b/crates/lab/src/sockets/words.rs
@@ -1,8 +1,9 @@
 //! Frames' heads in the model's terms, and back.
 use crate::model::{Answer, ClassModel, Wanted};
 use pointspindle::ObjectId;
+use pointspindle_host::lease::Grant;
 use pointspindle_wire::range::{Applied, Range};
-use pointspindle_wire::{AnswerHead, FetchHead, RequestHead};
+use pointspindle_wire::{AnswerHead, FetchHead, LeaseHead, RequestHead};
 use std::sync::Arc;
 
 pub fn validator(version: u64) -> String {
@@ -61,6 +62,11 @@
     }
 }
 
+/// A grant of a member's ledger, as it is told.
+pub(crate) fn lease(grant: &Grant) -> LeaseHead {
+    LeaseHead { work_us: (grant.work * 1e6) as u64, for_us: grant.lasts }
+}
+
 /// Which bytes of the body an answer carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Cut {
--- a/crates/lab/src/virt/greet.rs
+++ b/crates/lab/src/virt/greet.rs
@@ -3,10 +3,10 @@
 use super::sim::{Ending, Event, Sim, EPOCH};
 use crate::model::{HostId, In, JobId, Wanted};
 use crate::record::Left;
+use crate::sockets::words::lease;
 use pointspindle_edge::core::AttemptEnd;
 use pointspindle_edge::Input;
-use pointspindle_host::lease::Grant;
-use pointspindle_wire::{HelloHead, LeaseHead};
+use pointspindle_wire::HelloHead;
 
 impl Sim<'_> {
     /// What waited for a connection goes out on it, or ends: `met` is the process that it was decided for.
@@ -43,7 +43,7 @@
 
     /// A process has started: it leases out what it bears.
     pub(super) fn warms_up(&mut self, host: HostId) {
-        let Some((_, spec)) = self.world.hosts().find(|(id, _)| *id == host) else { return };
+        let spec = self.world.spec(host);
         if let Some(ledger) = self.s.ledger(spec.role, spec.weight, self.now) {
             self.queue.plan(ledger.next_slot(), Event::Slot(host, self.world.start(host).0));
             self.ledgers.insert(host, ledger);
@@ -103,7 +103,3 @@
         }
     }
 }
-
-fn lease(grant: &Grant) -> LeaseHead {
-    LeaseHead { work_us: (grant.work * 1e6) as u64, for_us: grant.lasts }
-}
--- a/crates/report/src/folder.rs
+++ b/crates/report/src/folder.rs
@@ -4,7 +4,6 @@
 use crate::{html, ReportError};
 use pointspindle_lab::record::{trail, Sight, TryId};
 use pointspindle_lab::scenario::{parse_with, Scenario};
-use pointspindle_lab::virt;
 use std::path::Path;
 
 const SCENARIO: &str = "scenario.ini";
@@ -56,15 +55,8 @@
 pub fn explain(folder: &Path, id: TryId) -> Result<Vec<Sight>, ReportError> {
     let run = load(folder)?;
     let sights: Vec<Sight> = if run.in_virtual_time {
-        let outcome = virt::run(&scenario(folder, &run)?, None).map_err(ReportError::Run)?;
-        let again = Run::new(
-            &scenario(folder, &run)?,
-            &run.sets,
-            true,
-            &outcome.service,
-            &outcome.rules,
-            &outcome.sights,
-        );
+        let scenario = scenario(folder, &run)?;
+        let (again, outcome) = Run::play(&scenario, &run.sets).map_err(ReportError::Run)?;
         if again != run {
             return Err(ReportError::Run(
                 "played again the day came out otherwise: it was made by another build".into(),
--- a/crates/report/src/plots.rs
+++ b/crates/report/src/plots.rs
@@ -1,7 +1,10 @@
 //! Plots as SVG, to stand inside a page: nothing is loaded from outside.
 use crate::record::{Band, Host, Run};
 use crate::ReportError;
+use plotters::coord::types::RangedCoordf64;
+use plotters::coord::Shift;
 use plotters::prelude::*;
+use std::ops::Range;
 
 const WIDE: u32 = 1000;
 const ASKED: RGBColor = RGBColor(190, 190, 190);
@@ -13,6 +16,16 @@
     ReportError::Plot(e.to_string())
 }
 
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Chart<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+/// Axes with room for their words: the same in every plot.
+fn chart<'a, 'b>(area: &Area<'b>, x: Range<f64>, y: Range<f64>) -> Result<Chart<'a, 'b>, ReportError> {
+    let mut builder = ChartBuilder::on(area);
+    builder.margin(8).x_label_area_size(28).y_label_area_size(52);
+    builder.build_cartesian_2d(x, y).map_err(failed)
+}
+
 /// A line by second.
 pub struct Line<'a> {
     pub name: &'a str,
@@ -36,12 +49,7 @@
         let area = SVGBackend::with_string(&mut svg, (WIDE, 260)).into_drawing_area();
         area.fill(&WHITE).map_err(failed)?;
         let most = plot.lines.iter().flat_map(|l| &l.values).copied().fold(0.0, f64::max).max(1e-9) * 1.05;
-        let mut chart = ChartBuilder::on(&area)
-            .margin(8)
-            .x_label_area_size(28)
-            .y_label_area_size(52)
-            .build_cartesian_2d(0.0..plot.seconds, 0.0..most)
-            .map_err(failed)?;
+        let mut chart = chart(&area, 0.0..plot.seconds, 0.0..most)?;
         let bands = plot.bands.iter().map(|b| {
             let to = b.to_s.max(b.from_s + 0.3).min(plot.seconds);
             Rectangle::new(
@@ -88,12 +96,7 @@
         let area = SVGBackend::with_string(&mut svg, (WIDE, height)).into_drawing_area();
         area.fill(&WHITE).map_err(failed)?;
         let count = hosts.len() as f64;
-        let mut chart = ChartBuilder::on(&area)
-            .margin(8)
-            .x_label_area_size(28)
-            .y_label_area_size(52)
-            .build_cartesian_2d(0.0..seconds, 0.0..count.max(1.0))
-            .map_err(failed)?;
+        let mut chart = chart(&area, 0.0..seconds, 0.0..count.max(1.0))?;
         let mesh = &mut chart.configure_mesh();
         mesh.disable_mesh().x_desc("s").y_desc("host").draw().map_err(failed)?;
         let cells = hosts.iter().enumerate().flat_map(|(n, host)| {
@@ -192,12 +195,7 @@
         let area = SVGBackend::with_string(&mut svg, (WIDE, 260)).into_drawing_area();
         area.fill(&WHITE).map_err(failed)?;
         let least = rows.iter().map(|r| r.least).fold(1.0, f64::min) - 0.02;
-        let mut chart = ChartBuilder::on(&area)
-            .margin(8)
-            .x_label_area_size(28)
-            .y_label_area_size(52)
-            .build_cartesian_2d(0.0..rows.len() as f64, least.max(0.0)..1.01)
-            .map_err(failed)?;
+        let mut chart = chart(&area, 0.0..rows.len() as f64, least.max(0.0)..1.01)?;
         let mesh = &mut chart.configure_mesh();
         mesh.light_line_style(WHITE).x_labels(1).x_desc("ways, in the table's order").y_desc("service");
         mesh.draw().map_err(failed)?;
--- a/crates/report/src/record.rs
+++ b/crates/report/src/record.rs
@@ -3,11 +3,11 @@
 use hdrhistogram::Histogram;
 use pointspindle::Micros;
 use pointspindle_lab::audit::service::Service;
-use pointspindle_lab::audit::Rule;
+use pointspindle_lab::audit::{fallen, Rule};
 use pointspindle_lab::record::{End, Saw, Sight};
 use pointspindle_lab::scenario::script::{Kind, Trouble};
 use pointspindle_lab::scenario::{Change, Scenario};
-use pointspindle_lab::{day, virt};
+use pointspindle_lab::virt;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
@@ -73,10 +73,6 @@
         Ok((Self::new(scenario, sets, true, &outcome.service, &outcome.rules, &outcome.sights), outcome))
     }
 
-    pub fn of_day(scenario: &Scenario, sets: &[Change], outcome: &day::Outcome) -> Self {
-        Self::new(scenario, sets, false, &outcome.service, &outcome.rules, &outcome.sights)
-    }
-
     pub fn new(
         scenario: &Scenario,
         sets: &[Change],
@@ -91,7 +87,6 @@
             from_s: t.at as f64 / 1e6,
             to_s: (t.at + span(t)) as f64 / 1e6,
         };
-        let fell = |s: &&Sight| matches!(&s.saw, Saw::Fell { why, .. } if why.contains("cold"));
         Self {
             form: FORM,
             scenario: scenario.name.clone(),
@@ -103,7 +98,7 @@
             in_virtual_time,
             service: service.clone(),
             rules: rules.to_vec(),
-            fallen: sights.iter().filter(fell).count(),
+            fallen: fallen(sights),
             bands: scenario.troubles.iter().map(band).collect(),
             by_second: seconds(scenario, sights),
             hosts: hosts(scenario, sights),
--- a/crates/report/src/sweep.rs
+++ b/crates/report/src/sweep.rs
@@ -120,7 +120,7 @@
     out
 }
 
-/// Means over the seeds of one way.
+/// Means over the days of one way.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
     pub way: String,
@@ -144,19 +144,20 @@
             None => ways.push((way, vec![p.figures])),
         }
     }
-    let row = |(way, all): (String, Vec<Figures>)| {
-        let mean = |of: fn(&Figures) -> f64| all.iter().map(of).sum::<f64>() / all.len() as f64;
-        Row {
-            way,
-            days: all.len(),
-            service: mean(|f| f.service),
-            least: all.iter().map(|f| f.service).fold(f64::MAX, f64::min),
-            most: all.iter().map(|f| f.service).fold(0.0, f64::max),
-            worst_10s: mean(|f| f.worst_10s),
-            goal: mean(|f| f.goal),
-            fallen: all.iter().map(|f| f.fallen).sum(),
-            broken: all.iter().filter(|f| f.breaches > 0).count(),
-        }
-    };
-    ways.into_iter().map(row).collect()
+    ways.into_iter().map(|(way, all)| row(way, &all)).collect()
+}
+
+pub fn row(way: String, all: &[Figures]) -> Row {
+    let mean = |of: fn(&Figures) -> f64| all.iter().map(of).sum::<f64>() / all.len() as f64;
+    Row {
+        way,
+        days: all.len(),
+        service: mean(|f| f.service),
+        least: all.iter().map(|f| f.service).fold(f64::MAX, f64::min),
+        most: all.iter().map(|f| f.service).fold(0.0, f64::max),
+        worst_10s: mean(|f| f.worst_10s),
+        goal: mean(|f| f.goal),
+        fallen: all.iter().map(|f| f.fallen).sum(),
+        broken: all.iter().filter(|f| f.breaches > 0).count(),
+    }
 }
