--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -1,6 +1,8 @@
 //! `pointspindle members` and `pointspindle purge`: words to running dispatchers.
+use crate::etcd::{changed, EtcdArguments};
 use crate::Failure;
 use pointspindle::ObjectId;
+use pointspindle_etcd::layout::{MemberRecord, State};
 use pointspindle_link::{Inbound, Link, LinkOptions};
 use pointspindle_wire::streams::Side;
 use pointspindle_wire::*;
@@ -14,8 +16,13 @@
 #[derive(clap::Args)]
 pub struct MembersArguments {
     /// Control addresses of the dispatchers.
-    #[arg(long, required = true)]
+    #[arg(long, required_unless_present = "etcd", conflicts_with = "etcd")]
     at: Vec<SocketAddr>,
+    #[command(flatten)]
+    through: EtcdArguments,
+    /// Go on showing the view as dispatchers see it; through etcd only.
+    #[arg(long, requires = "etcd", conflicts_with = "set")]
+    watch: bool,
     /// A change: ADDRESS=ready, ADDRESS=draining or ADDRESS=gone. Without any, the list is shown.
     #[arg(long)]
     set: Vec<String>,
@@ -34,8 +41,10 @@
 #[derive(clap::Args)]
 pub struct PurgeArguments {
     /// Control addresses of the dispatchers.
-    #[arg(long, required = true)]
+    #[arg(long, required_unless_present = "etcd", conflicts_with = "etcd")]
     at: Vec<SocketAddr>,
+    #[command(flatten)]
+    through: EtcdArguments,
     /// The object, as its path.
     #[arg(long, required_unless_present_any = ["group", "group_of"])]
     object: Option<String>,
@@ -46,7 +55,7 @@
     #[arg(long, conflicts_with_all = ["object", "group"])]
     group_of: Option<String>,
     /// How long ago it was purged, milliseconds.
-    #[arg(long, default_value_t = 0)]
+    #[arg(long, default_value_t = 0, conflicts_with = "etcd")]
     age_ms: u64,
 }
 
@@ -85,6 +94,9 @@
 }
 
 pub async fn members(arguments: MembersArguments) -> Result<(), Failure> {
+    if !arguments.through.etcd.is_empty() {
+        return members_through_etcd(&arguments).await;
+    }
     for at in &arguments.at {
         let mut now = list(*at).await?;
         if !arguments.set.is_empty() {
@@ -109,14 +121,43 @@
     Ok(())
 }
 
-fn change(set: &str, arguments: &MembersArguments, now: &ListHead) -> Result<MemberLine, String> {
+async fn members_through_etcd(a: &MembersArguments) -> Result<(), Failure> {
+    if a.set.is_empty() {
+        return a.through.show(a.watch).await;
+    }
+    for set in &a.set {
+        let (address, state) = wanted(set)?;
+        let new = || {
+            Ok(MemberRecord {
+                state: State::Ready,
+                weight: 1.0,
+                zone: a.zone.clone().ok_or(format!("{address} is new: say its --zone"))?,
+                kind: a.kind.clone().ok_or(format!("{address} is new: say its --kind"))?,
+                cell: 0,
+                start: 1,
+                started_unix_ms: None,
+            })
+        };
+        a.through.member(address, |known| changed(known, state, new, a.weight, a.cold)).await?;
+    }
+    Ok(())
+}
+
+/// ADDRESS=STATE.
+fn wanted(set: &str) -> Result<(&str, &str), String> {
     let usage = || format!("--set {set}: not ADDRESS=ready, ADDRESS=draining or ADDRESS=gone");
     let (address, state) = set.split_once('=').ok_or_else(usage)?;
+    let address = address.trim();
+    address.parse::<SocketAddr>().map_err(|_| format!("{address:?} is not an address and port"))?;
+    ["ready", "draining", "gone"].contains(&state).then_some((address, state)).ok_or_else(usage)
+}
+
+fn change(set: &str, arguments: &MembersArguments, now: &ListHead) -> Result<MemberLine, String> {
+    let (address, state) = wanted(set)?;
     let state = match state {
         "ready" => WireState::Ready,
         "draining" => WireState::Draining,
-        "gone" => WireState::Gone,
-        _ => return Err(usage()),
+        _ => WireState::Gone,
     };
     let known = now.members.iter().find(|m| m.address == address).cloned();
     let mut line = match known {
@@ -141,6 +182,9 @@
 pub async fn purge(arguments: PurgeArguments) -> Result<(), Failure> {
     let named = arguments.group_of.as_deref().map(|g| ObjectId::named(g.trim_end_matches('/')).0);
     let group = named.or(arguments.group).unwrap_or(0);
+    if !arguments.through.etcd.is_empty() {
+        return arguments.through.purge(arguments.object, group).await;
+    }
     let head = PurgeHead { object: arguments.object, group, age_us: arguments.age_ms * 1_000, seq: 1 };
     let mut failed = Vec::new();
     for at in &arguments.at {
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,5 +1,5 @@
 //! `pointspindle lab`: rehearse days on loopback and judge them.
-use crate::{experiments, idle, watch, Failure};
+use crate::{etcd, experiments, idle, watch, Failure};
 use pointspindle_lab::audit::{fallen, Rule};
 use pointspindle_lab::day::{self, Outcome, Plant};
 use pointspindle_lab::import;
@@ -27,6 +27,8 @@
     Report(experiments::ReportArguments),
     /// Open many idle connections, and show what each costs and what requests beside them pay.
     Idle(idle::IdleArguments),
+    /// Measure how late watchers of a stand-in etcd learn of purges while its streams break. Exit status 1: one never did.
+    Etcd(etcd::MeasureArguments),
     /// Show everything that happened to a request of a kept run.
     Explain(experiments::ExplainArguments),
     /// Check a scenario; names line and reason of everything that is wrong.
@@ -67,6 +69,9 @@
     /// The real shell in this process, on a simulated network under a paused clock: latency, loss and partitions.
     #[arg(long, conflicts_with = "virtual_time")]
     shell: bool,
+    /// Lists and purges through a stand-in etcd whose streams break again and again.
+    #[arg(long, conflicts_with_all = ["virtual_time", "shell", "plant"])]
+    etcd: bool,
     /// Keep the run here: scenario, figures, a report with plots.
     #[arg(long)]
     out: Option<PathBuf>,
@@ -90,6 +95,7 @@
         Command::Hunt(arguments) => experiments::hunt(arguments),
         Command::Report(arguments) => experiments::report(arguments),
         Command::Explain(arguments) => experiments::explain(arguments),
+        Command::Etcd(arguments) => etcd::lag(arguments).await,
         Command::Idle(arguments) => idle::idle(arguments).await,
         Command::Import { day, full } => {
             let text = std::fs::read_to_string(&day)?;
@@ -145,6 +151,8 @@
     let outcome = if arguments.shell {
         let (day, folder, plant) = (scenario.clone(), folder.clone(), arguments.plant);
         tokio::task::spawn_blocking(move || day::shell(&day, &folder, plant)).await?
+    } else if arguments.etcd {
+        day::run_by_etcd(&scenario, &program, &folder).await
     } else {
         day::run(&scenario, &program, &folder, arguments.plant).await
     };
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 well, 1 the answer is no (a broken rule, wrong settings), 2 it could not run.
 mod call;
 mod control;
+mod etcd;
 mod experiments;
 mod idle;
 mod lab;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,10 +1,13 @@
 //! `pointspindle serve`.
 use crate::Failure;
 use pointspindle_config::EdgeSettings;
-use pointspindle_edge::{Bound, Dispatcher};
+use pointspindle_edge::{Bound, Prepared};
+use pointspindle_etcd::EtcdSource;
 use pointspindle_lab::demo;
+use pointspindle_link::Net;
 use pointspindle_wire::MemberLine;
 use std::path::PathBuf;
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
 #[derive(clap::Args)]
@@ -34,7 +37,18 @@
             (settings, Some(stage))
         }
     };
-    let dispatcher = Dispatcher::start(settings, seed).await?;
+    let source = EtcdSource::of(&settings, seed)?;
+    let wait = settings.etcd.as_ref().map_or(0, |e| e.start_wait_us);
+    let mut prepared = Prepared::new(Net::Tcp, settings, seed).await;
+    if let Some(source) = source {
+        prepared.follow(source);
+        if !prepared.heard(Duration::from_micros(wait)).await {
+            tracing::warn!(
+                "etcd does not answer; the doors open with the lists that are known from before"
+            );
+        }
+    }
+    let dispatcher = prepared.open().await?;
     if let Some(file) = &arguments.ready_file {
         write_whole(file, &serde_json::to_vec(dispatcher.bound())?)?;
     }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use members::{MemberSpec, Role};
 pub use reader::{Complaint, Complaints, Reader};
-pub use schema::{ClassSpec, EdgeSettings, Listen, Network, Tls, Upstream};
+pub use schema::{ClassSpec, EdgeSettings, EtcdSettings, Listen, Network, Tls, Upstream};
 
 use std::path::Path;
 
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -67,6 +67,26 @@
     pub client_authority: Option<PathBuf>,
 }
 
+/// Lists, purges and counts of dispatchers from etcd.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EtcdSettings {
+    pub endpoints: Vec<String>,
+    /// Keys begin with this, then `/v1/`.
+    pub prefix: String,
+    /// PEM of the authority of the endpoints' certificates.
+    pub authority: Option<PathBuf>,
+    /// Own certificate and key, PEM.
+    pub identity: Option<(PathBuf, PathBuf)>,
+    /// User, and the file whose first line is the password.
+    pub user: Option<(String, PathBuf)>,
+    /// Of this dispatcher's registration.
+    pub lease_s: i64,
+    /// Longest wait for a call that is no stream.
+    pub patience_us: u64,
+    /// Longest wait for the lists before the doors open with what is known from before.
+    pub start_wait_us: u64,
+}
+
 /// Connections to members.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Upstream {
@@ -105,6 +125,7 @@
     pub classes: Vec<ClassSpec>,
     pub listen: Listen,
     pub tls: Option<Tls>,
+    pub etcd: Option<EtcdSettings>,
     pub upstream: Upstream,
     /// Time kept back from the client's deadline for the answer's way to it.
     pub answer_slack_us: u64,
@@ -174,6 +195,7 @@
 
     let listen = listen(r);
     let tls = tls(r, &listen);
+    let etcd = etcd(r);
     let upstream = Upstream {
         connect_us: r.ms("upstream", "connect_timeout_ms", 250.0, 1.0, MINUTE),
         max_streams: r.number("upstream", "max_streams", 1024, 1, 1_000_000),
@@ -235,6 +257,7 @@
         classes,
         listen,
         tls,
+        etcd,
         upstream,
         answer_slack_us,
         group_segments,
@@ -294,6 +317,45 @@
     }
 }
 
+fn etcd(r: &mut Reader) -> Option<EtcdSettings> {
+    let endpoints = r.text("etcd", "endpoints").unwrap_or_default();
+    let endpoints: Vec<String> =
+        endpoints.split(',').map(|e| e.trim().to_owned()).filter(|e| !e.is_empty()).collect();
+    if let Some(bad) = endpoints.iter().find(|e| !e.starts_with("http://") && !e.starts_with("https://")) {
+        r.complain(
+            "etcd",
+            "endpoints",
+            &format!("{bad:?} is not http://ADDRESS:PORT or https://ADDRESS:PORT"),
+        );
+    }
+    let prefix = r.value("etcd", "prefix", "/pointspindle".to_owned(), "what keys begin with");
+    if prefix.ends_with('/') || prefix.is_empty() {
+        r.complain("etcd", "prefix", "keys begin with it and /v1/: it is not empty and ends with no /");
+    }
+    let mut file = |key: &str| r.text("etcd", key).filter(|t| !t.is_empty()).map(PathBuf::from);
+    let (authority, certificate, key) = (file("authority"), file("certificate"), file("key"));
+    let password = file("password_file");
+    if certificate.is_some() != key.is_some() {
+        r.complain("etcd", if key.is_none() { "key" } else { "certificate" }, "missing: both or none");
+    }
+    let user = r.text("etcd", "user").filter(|u| !u.is_empty());
+    if user.is_some() != password.is_some() {
+        let missing = if user.is_none() { "user" } else { "password_file" };
+        r.complain("etcd", missing, "missing: both or none");
+    }
+    let lease_s = r.number("etcd", "lease_s", 5, 2, 600);
+    let patience_us = r.ms("etcd", "timeout_ms", 1_000.0, 10.0, MINUTE);
+    let start_wait_us = r.ms("etcd", "start_wait_ms", 2_000.0, 0.0, MINUTE);
+    if endpoints.is_empty() {
+        if r.has("etcd") {
+            r.complain("etcd", "endpoints", "missing, such as http://127.0.0.1:2379");
+        }
+        return None;
+    }
+    let (identity, user) = (certificate.zip(key), user.zip(password));
+    Some(EtcdSettings { endpoints, prefix, authority, identity, user, lease_s, patience_us, start_wait_us })
+}
+
 fn tls(r: &mut Reader, listen: &Listen) -> Option<Tls> {
     let mut file = |key: &str| r.text("tls", key).filter(|t| !t.is_empty()).map(PathBuf::from);
     let (certificate, key, client_authority) = (file("certificate"), file("key"), file("client_authority"));
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -11,13 +11,14 @@
 pub mod state;
 mod timers;
 
+use crate::peers::{Counts, Peers, Roster};
 use asks::Asks;
 use list::MemberList;
 use pointspindle::*;
 use pointspindle_config::{EdgeSettings, Role};
 use pointspindle_wire::{HelloHead, LeaseHead, ListHead, PurgeHead, WireNote, WireStatus};
 use purges::PurgeLog;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use timers::Timers;
 
 pub use list::ListNews;
@@ -86,6 +87,17 @@
         member: String,
         lease: LeaseHead,
     },
+    /// Purges may have been missed, nobody knows which: every copy from before now counts as purged.
+    Missed,
+    /// Which dispatchers are registered.
+    Roster(Roster),
+    /// This dispatcher's registration was kept, so long ago for so long.
+    Kept {
+        ago: Micros,
+        lasts: Micros,
+    },
+    /// Whether lists, purges and the roster are as new as they should be.
+    View(bool),
     /// Time has passed.
     Tick,
 }
@@ -183,6 +195,14 @@
     purges: PurgeLog,
     answer_slack: Micros,
     asks: Asks,
+    peers: Peers,
+    counts: Option<Counts>,
+    /// When the counts have to be looked at again.
+    count_at: Option<Micros>,
+    /// Since when purges may have been missed, and the groups that were purged for it since: as many as are asked for before no
+    /// older copy can be left.
+    missed: Option<(Micros, BTreeSet<u64>)>,
+    purge_done: Micros,
     /// Own zone.
     zone: usize,
     open: BTreeMap<u64, Open>,
@@ -199,6 +219,15 @@
             purges: PurgeLog::new(settings.router.purge_done),
             answer_slack: settings.answer_slack_us,
             asks: Asks::default(),
+            peers: Peers::new(
+                &settings.name,
+                &settings.zones[settings.router.zone],
+                settings.router.cold_cache.window.max(settings.router.cold_parent.window),
+            ),
+            counts: None,
+            count_at: None,
+            missed: None,
+            purge_done: settings.router.purge_done,
             zone: settings.router.zone,
             open: BTreeMap::new(),
             timers: Timers::default(),
@@ -237,6 +266,10 @@
 
     /// Takes one input and appends what to do about it. `now` never runs backwards.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        // Not left to the timer: a process that was stopped goes on with a request, not with a tick.
+        if self.count_at.is_some_and(|at| now >= at) {
+            self.count(now);
+        }
         match input {
             Input::Request(id, ask) => {
                 self.open.insert(id, Open::default());
@@ -249,6 +282,7 @@
                     left: ask.left.saturating_sub(self.answer_slack),
                     kb: ask.size.map(|bytes| bytes as f64 / 1024.0),
                 };
+                self.purge_if_missed(now, ask.group, out);
                 if !self.ask_first(now, &request, out) {
                     self.drive(now, Event::Request(request), out);
                 }
@@ -327,6 +361,19 @@
                     self.drive(now, Event::Request(waiting.go_on(now)), out);
                 }
             }
+            Input::Missed => self.missed = Some((now, BTreeSet::new())),
+            Input::Roster(roster) => {
+                self.peers.roster(now, roster);
+                self.count(now);
+            }
+            Input::Kept { ago, lasts } => {
+                self.peers.kept(now.saturating_sub(ago), lasts);
+                self.count(now);
+            }
+            Input::View(current) => {
+                self.peers.view(current);
+                self.count(now);
+            }
             Input::Tick => self.tick(now, out),
         }
     }
@@ -340,6 +387,7 @@
                         self.drive(now, Event::Request(waiting.go_on(now)), out);
                     }
                 }
+                timers::Timer::Peers => {}
                 timers::Timer::Attempt(request, attempt) => {
                     if self.is_out(request, attempt) {
                         out.push(Output::Abort { request, attempt });
@@ -350,6 +398,34 @@
         }
     }
 
+    /// Tells the router how many dispatchers there are, where that has changed.
+    fn count(&mut self, now: Micros) {
+        let counts = self.peers.counts(now);
+        if let Some(c) = counts.filter(|_| counts != self.counts) {
+            self.router.count(c.here, c.all, c.me, c.cold);
+            self.counts = counts;
+        }
+        if let Some(at) = self.count_at.take() {
+            self.timers.cancel(at, timers::Timer::Peers);
+        }
+        self.count_at = self.peers.next(now);
+        if let Some(at) = self.count_at {
+            self.timers.set(at, timers::Timer::Peers);
+        }
+    }
+
+    /// A request of a group whose purges may have been missed purges the group as of then, once.
+    fn purge_if_missed(&mut self, now: Micros, group: u64, out: &mut Vec<Output>) {
+        let Some((at, told)) = &mut self.missed else { return };
+        let age = now.saturating_sub(*at);
+        if age > self.purge_done {
+            self.missed = None;
+        } else if told.insert(group) {
+            self.purges.add(now, &PurgeHead { object: None, group, age_us: age, seq: 0 });
+            self.drive(now, Event::Purge { object: None, group, age }, out);
+        }
+    }
+
     /// Has a request wait for the word of the member whose it is, if that gives its work by asking and has none left here.
     fn ask_first(&mut self, now: Micros, request: &Request, out: &mut Vec<Output>) -> bool {
         let short = self.asks.any().then(|| self.router.short_of(now, request)).flatten();
--- a/crates/edge/src/core/timers.rs
+++ b/crates/edge/src/core/timers.rs
@@ -8,11 +8,13 @@
     Router(u64),
     /// A request has waited long enough for a member's word.
     Ask(u64),
+    /// The counts of dispatchers change.
+    Peers,
     /// Time-out of an attempt of a request.
     Attempt(u64, u32),
 }
 
-/// At most one for each open attempt and a few of the router's.
+/// At most one for each open attempt and a few of the router's and of the peers'.
 #[derive(Debug, Default)]
 pub struct Timers {
     set: BTreeSet<(Micros, Timer)>,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,7 +4,7 @@
 //! host, source, age, time-out, further attempt, refusal or come-back time: the router does. Who may hold a connection
 //! at the doors is decided by [`admission`], what may be begun while much is under way by [`budget`], whether a client is
 //! too slow by [`pace`], whether a connection to a member still carries anything by [`health`], and when one that broke is
-//! made again by [`redial`]. A call that its client tries again has one live attempt by [`keys`]. All without I/O.
+//! made again by [`redial`]. What dispatchers that count each other differently may take is decided by [`peers`]; lists, purges and counts come from a [`source`]. A call that its client tries again has one live attempt by [`keys`]. All without I/O.
 #![forbid(unsafe_code)]
 
 pub mod admission;
@@ -14,7 +14,10 @@
 pub mod keys;
 pub mod net;
 pub mod pace;
+pub mod peers;
 pub mod redial;
+pub mod source;
 
 pub use crate::core::{Ask, Core, Input, Output};
-pub use net::{Bound, Dispatcher, StartError};
+pub use net::{Bound, Dispatcher, Prepared, StartError};
+pub use source::{Source, Teller};
--- a/crates/edge/src/net/control.rs
+++ b/crates/edge/src/net/control.rs
@@ -1,5 +1,6 @@
 //! The operators' door: member lists and purges, acknowledged once they are in force.
 use super::Door;
+use crate::source::Teller;
 use pointspindle_link::{Inbound, Line, Link, LinkOptions};
 use pointspindle_wire::streams::Side;
 use pointspindle_wire::*;
@@ -7,6 +8,7 @@
 
 pub(crate) async fn serve(door: Door, socket: Line) {
     let (link, mut incoming) = Link::start(socket, Side::Answerer, LinkOptions { max_streams: 1 });
+    let teller = Teller { hub: door.hub.clone() };
     loop {
         let inbound = tokio::select! {
             inbound = incoming.next() => inbound,
@@ -15,19 +17,19 @@
         let answer = match inbound {
             None => break,
             Some(Inbound::Control(Frame::Members(head))) if head.form() == ListForm::Unspecified => {
-                Frame::Members(door.hub.list())
+                Frame::Members(teller.list())
             }
             Some(Inbound::Control(Frame::Members(head))) => {
                 let seq = head.seq;
                 tracing::info!(form = ?head.form(), seq, lines = head.members.len(), "member list");
-                let news = door.hub.members(head);
+                let news = teller.members(head);
                 let trouble = news.wanted.into_iter().chain(news.bad).collect::<Vec<_>>().join("; ");
                 Frame::Ack(AckHead { seq, trouble })
             }
             Some(Inbound::Control(Frame::Purge(head))) => {
                 let (seq, told) = (head.seq, Instant::now());
                 tracing::info!(object = ?head.object, group = head.group, seq, "purge");
-                door.hub.purge(head);
+                teller.purge(head);
                 door.hub.metrics.purge_lag.observe(told.elapsed().as_secs_f64());
                 Frame::Ack(AckHead { seq, trouble: String::new() })
             }
--- a/crates/edge/src/net/hub.rs
+++ b/crates/edge/src/net/hub.rs
@@ -13,7 +13,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::Instant;
 
 /// The core's clock starts here and not at 0, so that members may have started before the dispatcher.
@@ -65,6 +65,8 @@
     pub meter: Meter,
     pub tries: Arc<Tries>,
     budget: Budget,
+    /// Whether a source has told that its view is current.
+    pub view: watch::Sender<bool>,
 }
 
 impl Hub {
@@ -92,6 +94,7 @@
             // As many again as may run: those that are remembered.
             tries: Tries::new(2 * settings.max_requests),
             budget,
+            view: watch::channel(false).0,
             metrics: Metrics::new(&settings),
             settings,
         };
--- a/crates/edge/src/net/metrics.rs
+++ b/crates/edge/src/net/metrics.rs
@@ -56,6 +56,10 @@
     pub dead_connections: Counter,
     pub lost_clients: Counter,
     pub tls_failed: Counter,
+    pub source_current: Gauge,
+    pub source_gaps: Counter,
+    pub source_bad: Counter,
+    pub peers: Gauge,
     pub known_calls: Gauge,
 }
 
@@ -119,6 +123,16 @@
         all.register("known_calls", "Calls of clients that run or are remembered", known_calls.clone());
         let tls_failed = Counter::default();
         all.register("tls_failed", "TLS handshakes that came to nothing", tls_failed.clone());
+        let (source_current, peers): (Gauge, Gauge) = (Gauge::default(), Gauge::default());
+        let (source_gaps, source_bad) = (Counter::default(), Counter::default());
+        all.register(
+            "source_current",
+            "1: lists and purges are as new as they should be",
+            source_current.clone(),
+        );
+        all.register("source_gaps", "Times that purges may have been missed", source_gaps.clone());
+        all.register("source_bad", "Keys of the source that could not be used", source_bad.clone());
+        all.register("peers", "Dispatchers that are registered", peers.clone());
         let turned = "Connections turned away for want of a place";
         all.register("turned_away", turned, turned_away.clone());
         all.register("member_connections", "Connections to members", members_connected.clone());
@@ -157,6 +171,10 @@
             dead_connections,
             lost_clients,
             tls_failed,
+            source_current,
+            source_gaps,
+            source_bad,
+            peers,
             known_calls,
         }
     }
--- a/crates/edge/src/net/mod.rs
+++ b/crates/edge/src/net/mod.rs
@@ -14,7 +14,7 @@
 mod upstream;
 
 use crate::admission::Limits;
-use hub::Hub;
+pub(crate) use hub::Hub;
 use keeper::{Keeper, Seat, Speaks};
 use pointspindle_config::EdgeSettings;
 use pointspindle_link::tls::{Files, Identity, TlsError};
@@ -58,17 +58,45 @@
     identity: Option<Arc<Identity>>,
 }
 
-impl Dispatcher {
-    /// Reads the state file, takes the static list if there is no state, and listens.
-    pub async fn start(settings: EdgeSettings, seed: u64) -> Result<Self, StartError> {
-        Self::start_on(Net::Tcp, settings, seed).await
-    }
+/// A dispatcher that knows its state file and does not listen yet: so that it can hear of drains and purges first.
+#[derive(Debug)]
+pub struct Prepared {
+    net: Net,
+    hub: Arc<Hub>,
+    meetings: tokio::sync::mpsc::UnboundedReceiver<String>,
+    helpers: JoinSet<()>,
+}
 
-    /// ... on another network than the machine's own.
-    pub async fn start_on(net: Net, settings: EdgeSettings, seed: u64) -> Result<Self, StartError> {
+impl Prepared {
+    /// Reads the state file, and takes the static list if there is no state.
+    pub async fn new(net: Net, settings: EdgeSettings, seed: u64) -> Self {
         let settings = Arc::new(settings);
         let (hub, meetings) = Hub::new(settings.clone(), seed, net.clone());
         let hub = Arc::new(hub);
+        if !saver::restore(&hub).await && !settings.members.is_empty() {
+            hub.members(static_list(&settings));
+        }
+        Self { net, hub, meetings, helpers: JoinSet::new() }
+    }
+
+    /// Lists, purges and counts come from this source too, for as long as the dispatcher runs.
+    pub fn follow(&mut self, source: impl crate::source::Source) {
+        let teller = crate::source::Teller { hub: self.hub.clone() };
+        self.helpers.spawn(source.run(teller));
+    }
+
+    /// Waits for the source's view to be current. False: it was not in time.
+    pub async fn heard(&self, longest: Duration) -> bool {
+        let mut view = self.hub.view.subscribe();
+        let heard = tokio::time::timeout(longest, view.wait_for(|current| *current)).await;
+        matches!(heard, Ok(Ok(_)))
+    }
+
+    /// Listens.
+    pub async fn open(self) -> Result<Dispatcher, StartError> {
+        let Self { net, hub, meetings, mut helpers } = self;
+        let settings = hub.settings.clone();
+        let mut doors = JoinSet::new();
         let tls = |t: &pointspindle_config::Tls| {
             let files = Files { certificate: t.certificate.clone(), key: t.key.clone() };
             Identity::load(files, t.client_authority.clone())
@@ -77,7 +105,6 @@
         if !saver::restore(&hub).await && !settings.members.is_empty() {
             hub.members(static_list(&settings));
         }
-        let (mut doors, mut helpers) = (JoinSet::new(), JoinSet::new());
         let (stop, stopping) = watch::channel(false);
         let mut bound = Bound::default();
         let l = &settings.listen;
@@ -126,7 +153,19 @@
             helpers.spawn(saver::run(hub.clone()));
         }
         tracing::info!(name = %settings.name, ?bound, "dispatcher listens");
-        Ok(Self { hub, bound, stop, doors, helpers, identity })
+        Ok(Dispatcher { hub, bound, stop, doors, helpers, identity })
+    }
+}
+
+impl Dispatcher {
+    /// Reads the state file, takes the static list if there is no state, and listens.
+    pub async fn start(settings: EdgeSettings, seed: u64) -> Result<Self, StartError> {
+        Self::start_on(Net::Tcp, settings, seed).await
+    }
+
+    /// ... on another network than the machine's own.
+    pub async fn start_on(net: Net, settings: EdgeSettings, seed: u64) -> Result<Self, StartError> {
+        Prepared::new(net, settings, seed).await.open().await
     }
 
     pub fn bound(&self) -> &Bound {
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,228 @@
+//! How many dispatchers there are, and which of them this one is, while they come and go: a decision without I/O.
+//!
+//! Cold budgets are divided by these counts, and every dispatcher learns them at a moment of its own. The parts that are taken add
+//! up to no more than the whole all the same, because whoever may be wrong takes less:
+//!
+//! * a count goes up at once and down after [`HOLD`] and a budget's window, when everybody has heard and what was sent under the
+//!   old count has left the window;
+//! * who has just appeared takes nothing of cold budgets for as long: others may not have heard of it;
+//! * numbers (which cold parents are whose) shift with every change, so for as long nobody uses its own;
+//! * who is not registered, whose lease is two thirds over without word, or whose view is stale takes nothing either. Others
+//!   count a lost one until its lease has ended, so it stops before they begin to share its part.
+//!
+//! Members' own leases of their warm-up are not touched by any of it: they know whom they give work to.
+//!
+//! Kept: one roster, and the largest counts of the last moments, one for each change.
+use pointspindle::Micros;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Longest time between two dispatchers' learning of the same change while both hold their view for current.
+pub const HOLD: Micros = 1_000_000;
+
+/// All registered dispatchers by name, each with its zone.
+pub type Roster = BTreeMap<String, String>;
+
+/// What holds for this dispatcher now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Counts {
+    /// In its own zone, and in all.
+    pub here: u32,
+    pub all: u32,
+    /// Its place among all; none: not agreed on now.
+    pub me: Option<u32>,
+    /// It takes its part of cold budgets.
+    pub cold: bool,
+}
+
+#[derive(Debug)]
+pub struct Peers {
+    name: String,
+    zone: String,
+    /// What changes takes effect after this.
+    hold: Micros,
+    roster: Option<Roster>,
+    /// Counts that were larger, and until when they are used.
+    larger: VecDeque<(Micros, u32, u32)>,
+    changed: Micros,
+    /// Since when the roster holds this dispatcher.
+    joined: Option<Micros>,
+    /// The lease is believed until then.
+    kept: Micros,
+    current: bool,
+}
+
+impl Peers {
+    /// `window`: the longest window of a cold budget.
+    pub fn new(name: &str, zone: &str, window: Micros) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            hold: HOLD + window,
+            roster: None,
+            larger: VecDeque::new(),
+            changed: 0,
+            joined: None,
+            kept: 0,
+            current: false,
+        }
+    }
+
+    fn sizes(&self, roster: &Roster) -> (u32, u32) {
+        let here = roster.values().filter(|zone| **zone == self.zone).count();
+        (here as u32, roster.len() as u32)
+    }
+
+    /// Who is registered, as the source tells it.
+    pub fn roster(&mut self, now: Micros, roster: Roster) {
+        if self.roster.as_ref() == Some(&roster) {
+            return;
+        }
+        if let Some((here, all)) = self.roster.as_ref().map(|old| self.sizes(old)) {
+            self.larger.push_back((now + self.hold, here, all));
+        }
+        self.larger.retain(|(until, ..)| now < *until);
+        self.joined = match (roster.contains_key(&self.name), self.joined) {
+            (true, joined) => joined.or(Some(now)),
+            (false, _) => None,
+        };
+        (self.roster, self.changed) = (Some(roster), now);
+    }
+
+    /// The lease was kept, from `asked` on for so long.
+    pub fn kept(&mut self, asked: Micros, lasts: Micros) {
+        self.kept = self.kept.max(asked + lasts / 3 * 2);
+    }
+
+    /// Whether the source's view is current.
+    pub fn view(&mut self, current: bool) {
+        self.current = current;
+    }
+
+    /// None: no roster has ever been told, and the settings' counts hold.
+    pub fn counts(&self, now: Micros) -> Option<Counts> {
+        let roster = self.roster.as_ref()?;
+        let (mut here, mut all) = self.sizes(roster);
+        for (_, h, a) in self.larger.iter().filter(|(until, ..)| now < *until) {
+            (here, all) = (here.max(*h), all.max(*a));
+        }
+        let settled = now >= self.changed + self.hold;
+        let joined = self.joined.is_some_and(|at| now >= at + self.hold);
+        let cold = joined && self.current && now < self.kept;
+        let place = roster.keys().position(|name| *name == self.name).map(|n| n as u32);
+        Some(Counts { here: here.max(1), all: all.max(1), me: place.filter(|_| cold && settled), cold })
+    }
+
+    /// When [`Peers::counts`] changes next if nothing is told.
+    pub fn next(&self, now: Micros) -> Option<Micros> {
+        let held = self.larger.iter().map(|(until, ..)| *until);
+        let joined = self.joined.map(|at| at + self.hold);
+        let all = held.chain(joined).chain([self.changed + self.hold, self.kept]);
+        all.filter(|at| *at > now).min().filter(|_| self.roster.is_some())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::rngs::StdRng;
+    use rand::{Rng, SeedableRng};
+
+    const WINDOW: Micros = 2_000_000;
+    const LEASE: Micros = 3_000_000;
+
+    /// One dispatcher of the play: when its key was written, and when it was last kept.
+    struct One {
+        peers: Peers,
+        lag: Micros,
+        kept: Option<Micros>,
+        /// It neither runs nor keeps its lease until then.
+        paused: Micros,
+    }
+
+    /// Dispatchers come, go, pause and lose their leases; each hears of it late, in a time of its own. The parts that they take of
+    /// one cold budget, and the dispatchers that hold one cold parent for theirs, are never more than one whole.
+    #[test]
+    fn parts_add_up_to_no_more_than_the_whole_while_views_differ() {
+        for seed in 0..300 {
+            let mut dice = StdRng::seed_from_u64(seed);
+            let mut all: Vec<One> = Vec::new();
+            // The truth as of each moment: who is registered.
+            let mut truth: Vec<(Micros, Roster)> = vec![(0, Roster::new())];
+            let (mut now, mut most, mut taken) = (10_000_000, 0.0_f64, 0_u32);
+            for _ in 0..800 {
+                now += dice.gen_range(1_000..60_000);
+                match dice.gen_range(0..40) {
+                    0 if all.len() < 12 => {
+                        let peers = Peers::new(&format!("d{}", dice.gen::<u16>()), "b", WINDOW);
+                        all.push(One { peers, lag: 0, kept: None, paused: 0 });
+                    }
+                    1 if !all.is_empty() => {
+                        let n = dice.gen_range(0..all.len());
+                        all[n].paused = now + dice.gen_range(0..3 * LEASE);
+                    }
+                    2 if !all.is_empty() => {
+                        // Ends, politely or not: the others count it until its lease has ended.
+                        let n = dice.gen_range(0..all.len());
+                        all[n].paused = Micros::MAX;
+                    }
+                    _ => {}
+                }
+                for one in all.iter_mut().filter(|o| now >= o.paused) {
+                    one.lag = dice.gen_range(0..HOLD);
+                    if dice.gen_bool(0.1) || one.kept.is_none() {
+                        one.kept = Some(now);
+                        one.peers.kept(now, LEASE);
+                    }
+                }
+                let registered = |o: &&One| o.kept.is_some_and(|at| now < at + LEASE);
+                let roster: Roster =
+                    all.iter().filter(registered).map(|o| (o.peers.name.clone(), "b".to_owned())).collect();
+                if truth.last().unwrap().1 != roster {
+                    truth.push((now, roster));
+                }
+                let (mut sum, mut owners) = (0.0, 0);
+                for one in all.iter_mut().filter(|o| now >= o.paused) {
+                    let seen = truth.iter().rev().find(|(at, _)| at + one.lag <= now).unwrap();
+                    one.peers.view(true);
+                    one.peers.roster(now, seen.1.clone());
+                    let counts = one.peers.counts(now).unwrap();
+                    if counts.cold {
+                        sum += 1.0 / f64::from(counts.here);
+                        taken += 1;
+                    }
+                    // A cold parent that is one dispatcher's: the first of all.
+                    owners += u32::from(counts.me == Some(0));
+                }
+                assert!(sum <= 1.0 + 1e-9, "seed {seed}: {sum} of a budget at {now}");
+                assert!(owners <= 1, "seed {seed}: {owners} dispatchers for one parent at {now}");
+                most = most.max(sum);
+            }
+            assert!(taken == 0 || most > 0.0);
+        }
+    }
+
+    #[test]
+    fn a_lease_without_word_a_stale_view_and_a_newcomer_take_nothing() {
+        let mut peers = Peers::new("a", "b", WINDOW);
+        assert_eq!(peers.counts(5), None, "nothing was told: the settings hold");
+        let roster =
+            |names: &[&str]| names.iter().map(|n| (n.to_string(), "b".to_string())).collect::<Roster>();
+        peers.view(true);
+        peers.kept(0, 30 * LEASE);
+        peers.roster(0, roster(&["a"]));
+        assert_eq!(peers.counts(0), Some(Counts { here: 1, all: 1, me: None, cold: false }));
+        let settled = HOLD + WINDOW;
+        assert_eq!(peers.next(0), Some(settled));
+        assert_eq!(peers.counts(settled), Some(Counts { here: 1, all: 1, me: Some(0), cold: true }));
+        // Another one: counted at once, and forgotten late.
+        peers.roster(settled, roster(&["a", "c"]));
+        assert_eq!(peers.counts(settled), Some(Counts { here: 2, all: 2, me: None, cold: true }));
+        peers.roster(settled + 1, roster(&["a"]));
+        assert_eq!(peers.counts(settled + 2).unwrap().here, 2);
+        assert_eq!(peers.counts(3 * settled).unwrap().here, 1);
+        peers.view(false);
+        assert!(!peers.counts(3 * settled).unwrap().cold);
+        peers.view(true);
+        assert!(!peers.counts(20 * LEASE).unwrap().cold, "two thirds of the lease are over");
+    }
+}
--- a/crates/etcd/src/layout.rs
+++ b/crates/etcd/src/layout.rs
@@ -3,6 +3,7 @@
 //! | key | value |
 //! | --- | --- |
 //! | `members/ADDRESS` | a [`MemberRecord`]; deleted: gone |
+//! | `dispatchers/NAME` | a [`DispatcherRecord`], under a lease that the dispatcher keeps |
 //! | `purges/ID` | a [`PurgeRecord`]; the writer attaches a lease of at least a minute, after which no older copy is left anywhere |
 //!
 //! An ID is the writer's, never used again. Fields that are not known are skipped, so records may grow; another form of one is
@@ -38,6 +39,12 @@
     pub started_unix_ms: Option<u64>,
 }
 
+/// A dispatcher that runs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DispatcherRecord {
+    pub zone: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PurgeRecord {
     /// Absent: all of the group.
@@ -50,6 +57,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Name {
     Member(String),
+    Dispatcher(String),
     Purge(String),
 }
 
@@ -70,6 +78,10 @@
     format!("{prefix}{VERSION}members/{address}")
 }
 
+pub fn dispatcher_key(prefix: &str, name: &str) -> String {
+    format!("{prefix}{VERSION}dispatchers/{name}")
+}
+
 pub fn purge_key(prefix: &str, id: &str) -> String {
     format!("{prefix}{VERSION}purges/{id}")
 }
@@ -81,6 +93,7 @@
     match rest.split_once('/') {
         Some((_, "")) | None => Err(BadKey::Foreign(text)),
         Some(("members", address)) => Ok(Some(Name::Member(address.to_owned()))),
+        Some(("dispatchers", name)) => Ok(Some(Name::Dispatcher(name.to_owned()))),
         Some(("purges", id)) => Ok(Some(Name::Purge(id.to_owned()))),
         Some(_) => Ok(None),
     }
@@ -98,6 +111,10 @@
     value(key, bytes)
 }
 
+pub fn dispatcher(key: &[u8], bytes: &[u8]) -> Result<DispatcherRecord, BadKey> {
+    value(key, bytes)
+}
+
 pub fn purge(key: &[u8], bytes: &[u8]) -> Result<PurgeRecord, BadKey> {
     value(key, bytes)
 }
--- /dev/null
+++ b/crates/etcd/src/proto.rs
@@ -0,0 +1,381 @@
+//! Messages of etcd's v3 API, as far as they are used here: field numbers and types as in its published definitions
+//! (`etcdserverpb/rpc.proto`, `mvccpb/kv.proto`). Fields that are left out are skipped by either side.
+use prost::{Enumeration, Message, Oneof};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum EventType {
+    Put = 0,
+    Delete = 1,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum CompareResult {
+    Equal = 0,
+    Greater = 1,
+    Less = 2,
+    NotEqual = 3,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum CompareTarget {
+    Version = 0,
+    Create = 1,
+    Mod = 2,
+    Value = 3,
+    Lease = 4,
+}
+
+/// Of every answer: which cluster and member gave it, and the store's revision then.
+#[derive(Clone, PartialEq, Message)]
+pub struct ResponseHeader {
+    #[prost(uint64, tag = "1")]
+    pub cluster_id: u64,
+    #[prost(uint64, tag = "2")]
+    pub member_id: u64,
+    #[prost(int64, tag = "3")]
+    pub revision: i64,
+    #[prost(uint64, tag = "4")]
+    pub raft_term: u64,
+}
+
+/// A key with its value, and the revision of its last change.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeyValue {
+    #[prost(bytes = "vec", tag = "1")]
+    pub key: Vec<u8>,
+    #[prost(int64, tag = "2")]
+    pub create_revision: i64,
+    #[prost(int64, tag = "3")]
+    pub mod_revision: i64,
+    #[prost(int64, tag = "4")]
+    pub version: i64,
+    #[prost(bytes = "vec", tag = "5")]
+    pub value: Vec<u8>,
+    #[prost(int64, tag = "6")]
+    pub lease: i64,
+}
+
+/// A change that a watch tells.
+#[derive(Clone, PartialEq, Message)]
+pub struct Event {
+    #[prost(enumeration = "EventType", tag = "1")]
+    pub r#type: i32,
+    #[prost(message, optional, tag = "2")]
+    pub kv: Option<KeyValue>,
+    #[prost(message, optional, tag = "3")]
+    pub prev_kv: Option<KeyValue>,
+}
+
+/// Keys from `key` up to, not including, `range_end`; at `revision` (0: the newest).
+#[derive(Clone, PartialEq, Message)]
+pub struct RangeRequest {
+    #[prost(bytes = "vec", tag = "1")]
+    pub key: Vec<u8>,
+    #[prost(bytes = "vec", tag = "2")]
+    pub range_end: Vec<u8>,
+    #[prost(int64, tag = "3")]
+    pub limit: i64,
+    #[prost(int64, tag = "4")]
+    pub revision: i64,
+    #[prost(bool, tag = "7")]
+    pub serializable: bool,
+    #[prost(bool, tag = "8")]
+    pub keys_only: bool,
+    #[prost(bool, tag = "9")]
+    pub count_only: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct RangeResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    #[prost(message, repeated, tag = "2")]
+    pub kvs: Vec<KeyValue>,
+    #[prost(bool, tag = "3")]
+    pub more: bool,
+    #[prost(int64, tag = "4")]
+    pub count: i64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct PutRequest {
+    #[prost(bytes = "vec", tag = "1")]
+    pub key: Vec<u8>,
+    #[prost(bytes = "vec", tag = "2")]
+    pub value: Vec<u8>,
+    #[prost(int64, tag = "3")]
+    pub lease: i64,
+    #[prost(bool, tag = "4")]
+    pub prev_kv: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct PutResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    #[prost(message, optional, tag = "2")]
+    pub prev_kv: Option<KeyValue>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct DeleteRangeRequest {
+    #[prost(bytes = "vec", tag = "1")]
+    pub key: Vec<u8>,
+    #[prost(bytes = "vec", tag = "2")]
+    pub range_end: Vec<u8>,
+    #[prost(bool, tag = "3")]
+    pub prev_kv: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct DeleteRangeResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    #[prost(int64, tag = "2")]
+    pub deleted: i64,
+    #[prost(message, repeated, tag = "3")]
+    pub prev_kvs: Vec<KeyValue>,
+}
+
+/// A condition of a transaction: `target` of `key` stands to the value so.
+#[derive(Clone, PartialEq, Message)]
+pub struct Compare {
+    #[prost(enumeration = "CompareResult", tag = "1")]
+    pub result: i32,
+    #[prost(enumeration = "CompareTarget", tag = "2")]
+    pub target: i32,
+    #[prost(bytes = "vec", tag = "3")]
+    pub key: Vec<u8>,
+    #[prost(oneof = "compare::TargetUnion", tags = "4, 5, 6, 7, 8")]
+    pub target_union: Option<compare::TargetUnion>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct RequestOp {
+    #[prost(oneof = "request_op::Request", tags = "1, 2, 3")]
+    pub request: Option<request_op::Request>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ResponseOp {
+    #[prost(oneof = "response_op::Response", tags = "1, 2, 3")]
+    pub response: Option<response_op::Response>,
+}
+
+/// All of `success` in one revision if every comparison holds, else all of `failure`.
+#[derive(Clone, PartialEq, Message)]
+pub struct TxnRequest {
+    #[prost(message, repeated, tag = "1")]
+    pub compare: Vec<Compare>,
+    #[prost(message, repeated, tag = "2")]
+    pub success: Vec<RequestOp>,
+    #[prost(message, repeated, tag = "3")]
+    pub failure: Vec<RequestOp>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct TxnResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    #[prost(bool, tag = "2")]
+    pub succeeded: bool,
+    #[prost(message, repeated, tag = "3")]
+    pub responses: Vec<ResponseOp>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct CompactionRequest {
+    #[prost(int64, tag = "1")]
+    pub revision: i64,
+    #[prost(bool, tag = "2")]
+    pub physical: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct CompactionResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct WatchRequest {
+    #[prost(oneof = "watch_request::Request", tags = "1, 2, 3")]
+    pub request: Option<watch_request::Request>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct WatchCreateRequest {
+    #[prost(bytes = "vec", tag = "1")]
+    pub key: Vec<u8>,
+    #[prost(bytes = "vec", tag = "2")]
+    pub range_end: Vec<u8>,
+    #[prost(int64, tag = "3")]
+    pub start_revision: i64,
+    #[prost(bool, tag = "4")]
+    pub progress_notify: bool,
+    #[prost(bool, tag = "6")]
+    pub prev_kv: bool,
+    #[prost(int64, tag = "7")]
+    pub watch_id: i64,
+    #[prost(bool, tag = "8")]
+    pub fragment: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct WatchCancelRequest {
+    #[prost(int64, tag = "1")]
+    pub watch_id: i64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct WatchProgressRequest {}
+
+/// `fragment`: more of the same revisions follows. `compact_revision`: the watch began before what is left of history.
+#[derive(Clone, PartialEq, Message)]
+pub struct WatchResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    #[prost(int64, tag = "2")]
+    pub watch_id: i64,
+    #[prost(bool, tag = "3")]
+    pub created: bool,
+    #[prost(bool, tag = "4")]
+    pub canceled: bool,
+    #[prost(int64, tag = "5")]
+    pub compact_revision: i64,
+    #[prost(string, tag = "6")]
+    pub cancel_reason: String,
+    #[prost(bool, tag = "7")]
+    pub fragment: bool,
+    #[prost(message, repeated, tag = "11")]
+    pub events: Vec<Event>,
+}
+
+/// Seconds.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseGrantRequest {
+    #[prost(int64, tag = "1")]
+    pub ttl: i64,
+    #[prost(int64, tag = "2")]
+    pub id: i64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseGrantResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    #[prost(int64, tag = "2")]
+    pub id: i64,
+    #[prost(int64, tag = "3")]
+    pub ttl: i64,
+    #[prost(string, tag = "4")]
+    pub error: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseRevokeRequest {
+    #[prost(int64, tag = "1")]
+    pub id: i64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseRevokeResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseKeepAliveRequest {
+    #[prost(int64, tag = "1")]
+    pub id: i64,
+}
+
+/// `ttl` 0: the lease is gone.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseKeepAliveResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    #[prost(int64, tag = "2")]
+    pub id: i64,
+    #[prost(int64, tag = "3")]
+    pub ttl: i64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct AuthenticateRequest {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub password: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct AuthenticateResponse {
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    #[prost(string, tag = "2")]
+    pub token: String,
+}
+
+pub mod compare {
+    use super::*;
+
+    #[derive(Clone, PartialEq, Oneof)]
+    pub enum TargetUnion {
+        #[prost(int64, tag = "4")]
+        Version(i64),
+        #[prost(int64, tag = "5")]
+        CreateRevision(i64),
+        #[prost(int64, tag = "6")]
+        ModRevision(i64),
+        #[prost(bytes = "vec", tag = "7")]
+        Value(Vec<u8>),
+        #[prost(int64, tag = "8")]
+        Lease(i64),
+    }
+}
+
+pub mod request_op {
+    use super::*;
+
+    #[derive(Clone, PartialEq, Oneof)]
+    pub enum Request {
+        #[prost(message, tag = "1")]
+        Range(RangeRequest),
+        #[prost(message, tag = "2")]
+        Put(PutRequest),
+        #[prost(message, tag = "3")]
+        DeleteRange(DeleteRangeRequest),
+    }
+}
+
+pub mod response_op {
+    use super::*;
+
+    #[derive(Clone, PartialEq, Oneof)]
+    pub enum Response {
+        #[prost(message, tag = "1")]
+        Range(RangeResponse),
+        #[prost(message, tag = "2")]
+        Put(PutResponse),
+        #[prost(message, tag = "3")]
+        DeleteRange(DeleteRangeResponse),
+    }
+}
+
+pub mod watch_request {
+    use super::*;
+
+    #[derive(Clone, PartialEq, Oneof)]
+    pub enum Request {
+        #[prost(message, tag = "1")]
+        Create(WatchCreateRequest),
+        #[prost(message, tag = "2")]
+        Cancel(WatchCancelRequest),
+        #[prost(message, tag = "3")]
+        Progress(WatchProgressRequest),
+    }
+}
--- a/crates/etcd/src/watcher.rs
+++ b/crates/etcd/src/watcher.rs
@@ -10,7 +10,7 @@
 //! is to treat everything as purged then.
 //!
 //! Kept: a line for each member, the last revision of each purge that is still written there.
-use crate::layout::{self, MemberRecord, Name};
+use crate::layout::{self, DispatcherRecord, MemberRecord, Name};
 use pointspindle_wire::{ListForm, ListHead, PurgeHead};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -90,9 +90,12 @@
     Hang,
     Members(ListHead),
     Purge(PurgeHead),
-    /// Purges of the time before now may have been missed, as far back as this.
+    /// All dispatchers that are registered, by name.
+    Dispatchers(BTreeMap<String, DispatcherRecord>),
+    /// Purges of the time before now may have been missed, as far back as this. `first`: nothing was known before.
     Gap {
         age_us: Micros,
+        first: bool,
     },
     /// A key that cannot be used; all others are.
     Bad(layout::BadKey),
@@ -146,6 +149,7 @@
     /// The cluster whose history the revision is of.
     cluster: u64,
     members: BTreeMap<String, MemberRecord>,
+    dispatchers: BTreeMap<String, DispatcherRecord>,
     purges: BTreeMap<String, Revision>,
     /// Fragments whose last one has not come.
     partial: Vec<Change>,
@@ -170,6 +174,7 @@
             revision: 0,
             cluster: 0,
             members: BTreeMap::new(),
+            dispatchers: BTreeMap::new(),
             purges: BTreeMap::new(),
             partial: Vec::new(),
             lost: false,
@@ -341,13 +346,17 @@
             self.revision > 0 && (header.cluster != self.cluster || header.revision < self.revision);
         let lost = self.lost || foreign;
         let known = if foreign { 0 } else { self.revision };
-        let (mut members, mut purges) = (BTreeMap::new(), BTreeMap::new());
+        let (mut members, mut purges, mut dispatchers) =
+            (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let mut told = Vec::new();
         for kv in keys {
             match self.read_put(&kv) {
                 Ok(Some(Read::Member(address, record))) => {
                     members.insert(address, record);
                 }
+                Ok(Some(Read::Dispatcher(name, record))) => {
+                    dispatchers.insert(name, record);
+                }
                 Ok(Some(Read::Purge(id, head))) => {
                     if kv.mod_revision > known {
                         told.push((kv.mod_revision, head));
@@ -362,13 +371,16 @@
         if lost || self.revision == 0 {
             // What was on its way then counts as missed, too.
             let since = self.whole_at.saturating_sub(self.rule.silent);
-            out.push(Output::Gap { age_us: now.saturating_sub(since) });
+            let first = self.revision == 0;
+            out.push(Output::Gap { age_us: now.saturating_sub(since), first });
         }
         // Purges before members: a host that comes back is asked under them.
         told.sort_by_key(|(revision, _)| *revision);
         out.extend(told.into_iter().map(|(_, head)| Output::Purge(head)));
         (self.members, self.purges, self.lost) = (members, purges, false);
         (self.cluster, self.revision) = (header.cluster, header.revision);
+        self.dispatchers = dispatchers;
+        out.push(Output::Dispatchers(self.dispatchers.clone()));
         self.seq += 1;
         let lines = self.members.iter().map(|(a, r)| MemberRecord::line(Some(r), a, wall_ms)).collect();
         out.push(Output::Members(ListHead { form: ListForm::Full as i32, seq: self.seq, members: lines }));
@@ -379,6 +391,9 @@
     fn read_put(&self, kv: &KeyValue) -> Result<Option<Read>, layout::BadKey> {
         Ok(match layout::name(&self.prefix, &kv.key)? {
             Some(Name::Member(address)) => Some(Read::Member(address, layout::member(&kv.key, &kv.value)?)),
+            Some(Name::Dispatcher(name)) => {
+                Some(Read::Dispatcher(name, layout::dispatcher(&kv.key, &kv.value)?))
+            }
             Some(Name::Purge(id)) => Some(Read::Purge(id, layout::purge(&kv.key, &kv.value)?.head())),
             None => None,
         })
@@ -387,7 +402,7 @@
     /// Whole revisions, in order; what is in the view already is left out.
     fn apply(&mut self, wall_ms: u64, changes: Vec<Change>, out: &mut Vec<Output>) {
         let from = self.revision;
-        let mut lines = BTreeMap::new();
+        let (mut lines, mut roster) = (BTreeMap::new(), false);
         for change in changes.into_iter().filter(|c| c.revision() > from) {
             self.revision = self.revision.max(change.revision());
             match change {
@@ -397,6 +412,9 @@
                         lines.insert(address.clone(), line);
                         self.members.insert(address, record);
                     }
+                    Ok(Some(Read::Dispatcher(name, record))) => {
+                        roster |= self.dispatchers.insert(name, record.clone()) != Some(record);
+                    }
                     Ok(Some(Read::Purge(id, head))) => {
                         self.purges.insert(id, kv.mod_revision);
                         out.push(Output::Purge(head));
@@ -409,12 +427,16 @@
                         lines.insert(address.clone(), MemberRecord::line(None, &address, wall_ms));
                         self.members.remove(&address);
                     }
+                    Ok(Some(Name::Dispatcher(name))) => roster |= self.dispatchers.remove(&name).is_some(),
                     Ok(Some(Name::Purge(id))) => drop(self.purges.remove(&id)),
                     Ok(None) => {}
                     Err(bad) => out.push(Output::Bad(bad)),
                 },
             }
         }
+        if roster {
+            out.push(Output::Dispatchers(self.dispatchers.clone()));
+        }
         if !lines.is_empty() {
             self.seq += 1;
             let members = lines.into_values().collect();
@@ -425,5 +447,6 @@
 
 enum Read {
     Member(String, MemberRecord),
+    Dispatcher(String, DispatcherRecord),
     Purge(String, PurgeHead),
 }
--- a/crates/etcd/tests/history.rs
+++ b/crates/etcd/tests/history.rs
@@ -122,7 +122,7 @@
                     }
                 }
                 Output::Purge(head) => self.told.push(head.object.unwrap()),
-                Output::Gap { age_us } => {
+                Output::Gap { age_us, .. } => {
                     self.counts[3] += 1;
                     let since = self.now - age_us;
                     // Whatever was purged in the gap counts as told.
@@ -132,7 +132,7 @@
                     assert!(e.to_string().contains("members/odd"), "{e}");
                     self.bad += 1;
                 }
-                Output::View(_) => {}
+                Output::View(_) | Output::Dispatchers(_) => {}
             }
         }
         self.check();
--- a/crates/lab/src/day/mod.rs
+++ b/crates/lab/src/day/mod.rs
@@ -1,5 +1,6 @@
 //! A scenario on sockets: dispatchers, members as stand-ins, clients, control. Either in real time on loopback with dispatchers as
 //! processes, or all in this process on a simulated network under a paused clock.
+mod by_etcd;
 mod clients;
 mod control;
 pub(crate) mod http_client;
@@ -15,6 +16,7 @@
 use crate::scenario::script::{purge_groups, Listed};
 use crate::scenario::{stream, Scenario, Script, Step, Traffic};
 use crate::sockets::{Ledgers, Stage, StageOptions, EPOCH};
+use by_etcd::{ByEtcd, Flapping};
 use clients::{Clients, Target};
 use control::{Control, News};
 use pointspindle::{Micros, ObjectId};
@@ -130,29 +132,32 @@
 
 /// Where a day is played.
 enum Rig<'a> {
-    /// The dispatcher's binary.
-    Processes(&'a Path),
+    /// The dispatcher's binary, and the stand-in etcd from which they learn of lists and purges, if so.
+    Processes(&'a Path, Option<Flapping>),
     Shell(SimNet),
 }
 
 impl Rig<'_> {
     fn net(&self) -> Net {
         match self {
-            Self::Processes(_) => Net::Tcp,
+            Self::Processes(..) => Net::Tcp,
             Self::Shell(net) => Net::Simulated(net.clone()),
         }
     }
 
     fn member_address(&self, n: usize) -> String {
         match self {
-            Self::Processes(_) => member_address(n),
+            Self::Processes(..) => member_address(n),
             Self::Shell(_) => SocketAddr::new(member_ip(n), 9_000).to_string(),
         }
     }
 
     fn seat(&self, folder: &Path, number: usize) -> Seat {
         match self {
-            Self::Processes(program) => Seat::Process(Process::new(program, folder, number)),
+            Self::Processes(program, etcd) => {
+                let endpoint = etcd.as_ref().map(|e| e.endpoint.clone());
+                Seat::Process(Process::new(program, folder, number, endpoint))
+            }
             Self::Shell(net) => Seat::Task(Task::new(net.clone(), folder, number)),
         }
     }
@@ -169,7 +174,16 @@
     if let Some(why) = scenario.needs_shell() {
         return Err(RigError::Io(std::io::Error::other(why)));
     }
-    play(scenario, &Rig::Processes(program), folder, plant, recorder).await
+    play(scenario, &Rig::Processes(program, None), folder, plant, recorder).await
+}
+
+/// Plays a day with lists and purges through a stand-in etcd whose streams break again and again, and whose history is compacted.
+pub async fn run_by_etcd(scenario: &Scenario, program: &Path, folder: &Path) -> Result<Outcome, RigError> {
+    if let Some(why) = scenario.needs_shell() {
+        return Err(RigError::Io(std::io::Error::other(why)));
+    }
+    let etcd = Flapping::start().await?;
+    play(scenario, &Rig::Processes(program, Some(etcd)), folder, None, Recorder::default()).await
 }
 
 async fn play(
@@ -229,9 +243,18 @@
     let line = |h: &HostSpec| (h.role.word().to_owned(), zones[h.zone].clone(), h.weight);
     let members = all.iter().enumerate().map(|(n, h)| (n, line(h))).collect::<HashMap<_, _>>();
     let (news, heard) = mpsc::unbounded_channel();
-    let control =
-        Control { book, stage: stage.clone(), recorder: recorder.clone(), members, plant, net: rig.net() };
-    tokio::spawn(control.run(heard));
+    match rig {
+        Rig::Processes(_, Some(etcd)) => {
+            let (stage, recorder) = (stage.clone(), recorder.clone());
+            let control = ByEtcd::new(etcd, stage, recorder, members, &hosts, dispatchers).await?;
+            tokio::spawn(control.run(heard));
+        }
+        _ => {
+            let (stage, recorder) = (stage.clone(), recorder.clone());
+            let control = Control { book, stage, recorder, members, plant, net: rig.net() };
+            tokio::spawn(control.run(heard));
+        }
+    }
 
     let mut processes = Vec::new();
     let mut targets = Vec::new();
--- a/crates/lab/src/day/process.rs
+++ b/crates/lab/src/day/process.rs
@@ -28,6 +28,7 @@
     folder: PathBuf,
     pub doors: Doors,
     child: Option<Child>,
+    etcd: Option<String>,
 }
 
 #[derive(serde::Deserialize)]
@@ -39,10 +40,10 @@
 }
 
 impl Process {
-    pub fn new(program: &Path, folder: &Path, number: usize) -> Self {
+    pub fn new(program: &Path, folder: &Path, number: usize, etcd: Option<String>) -> Self {
         let any = SocketAddr::new(listen_ip(number), 0);
         let doors = Doors { http: any, framed: any, control: any, metrics: any };
-        Self { number, program: program.into(), folder: folder.into(), doors, child: None }
+        Self { number, program: program.into(), folder: folder.into(), doors, child: None, etcd }
     }
 
     fn file(&self, what: &str) -> PathBuf {
@@ -53,7 +54,8 @@
     pub async fn start(&mut self, scenario: &Scenario) -> Result<(), RigError> {
         let (settings, ready) = (self.file("ini"), self.file("ready"));
         let bind = source_ip(self.number).to_string();
-        let text = ini(scenario, self.number, &self.doors, &bind, &self.file("state"));
+        let text =
+            ini(scenario, self.number, &self.doors, &bind, &self.file("state"), self.etcd.as_deref());
         std::fs::write(&settings, text)?;
         let _ = std::fs::remove_file(&ready);
         let log = std::fs::File::options().create(true).append(true).open(self.file("log"))?;
--- a/crates/lab/src/day/settings.rs
+++ b/crates/lab/src/day/settings.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Of the day's keys in etcd.
+pub const PREFIX: &str = "/day";
+
 /// Where one listens: port 0 at first, the same ports again after a restart.
 #[derive(Clone, Copy, Debug)]
 pub struct Doors {
@@ -18,7 +21,15 @@
     us as f64 / 1e3
 }
 
-pub fn ini(s: &Scenario, dispatcher: usize, doors: &Doors, bind: &str, state: &Path) -> String {
+/// `etcd`: an endpoint from which lists and purges come, beside the control door.
+pub fn ini(
+    s: &Scenario,
+    dispatcher: usize,
+    doors: &Doors,
+    bind: &str,
+    state: &Path,
+    etcd: Option<&str>,
+) -> String {
     let branch = s.branch_of_dispatcher(dispatcher);
     let zones = s.zones();
     let mut t = String::new();
@@ -35,6 +46,9 @@
         doors.control,
         doors.metrics,
     );
+    if let Some(endpoint) = etcd {
+        let _ = write!(t, "[etcd]\nendpoints = {endpoint}\nprefix = {PREFIX}\n");
+    }
     let yes = |b: bool| if b { "yes" } else { "no" };
     let _ = write!(
         t,
--- a/crates/lab/src/day/task.rs
+++ b/crates/lab/src/day/task.rs
@@ -37,7 +37,7 @@
     async fn start(&mut self, scenario: &Scenario) -> Result<(), RigError> {
         let bind = source_ip(self.number).to_string();
         let state = self.folder.join(format!("dispatcher-{}.state", self.number));
-        let text = ini(scenario, self.number, &self.doors, &bind, &state);
+        let text = ini(scenario, self.number, &self.doors, &bind, &state, None);
         let settings = pointspindle_config::parse("settings", &text).map_err(|e| self.failed(e))?;
         let life = self.net.life();
         let seed = scenario.seed ^ self.number as u64;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod content;
 pub mod day;
 pub mod demo;
+pub mod etcd;
 pub mod idle;
 pub mod import;
 pub mod model;
--- a/crates/lab/src/virt/sim.rs
+++ b/crates/lab/src/virt/sim.rs
@@ -164,7 +164,7 @@
         for n in 0..s.dispatcher_count() {
             let any = "127.0.0.1:0".parse().expect("an address");
             let doors = Doors { http: any, framed: any, control: any, metrics: any };
-            let text = ini(s, n, &doors, "127.0.0.1", std::path::Path::new(""));
+            let text = ini(s, n, &doors, "127.0.0.1", std::path::Path::new(""), None);
             let settings = pointspindle_config::parse("the scenario", &text).map_err(|e| e.to_string())?;
             let core = Core::new(&settings, stream(s.seed, &format!("core {n}")));
             let (open, passing, heads) = Default::default();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -181,6 +181,8 @@
     /// Routers that send to this location's caches, and in all.
     sharing: f64,
     routers: u64,
+    /// The share of its part of cold budgets that it takes: none while routers may count each other differently.
+    cold_part: f64,
     sizes_told: bool,
     /// Worth asked for a second of sending time, lately: both as running means.
     asked: (f64, f64),
@@ -268,6 +270,7 @@
             // Counts that are missing or contradict each other: the largest is the safe one.
             sharing: if here > 0 { here } else { routers } as f64,
             routers,
+            cold_part: 1.0,
             learned: vec![0; mean.len()],
             pace: 0.0,
             mean,
@@ -280,6 +283,12 @@
         }
     }
 
+    /// How many routers there are, here and in all, and which one this is; `cold`: it takes from cold budgets.
+    pub fn count(&mut self, here: u32, all: u32, me: Option<u32>, cold: bool) {
+        (self.sharing, self.routers) = (here.max(1) as f64, all.max(1).into());
+        (self.set.me, self.cold_part) = (me, cold as u8 as f64);
+    }
+
     /// Takes one event and appends what to do about it. `now` never runs backwards.
     pub fn handle(&mut self, now: Micros, event: Event, act: &mut Vec<Action>) {
         self.born.get_or_insert(now);
@@ -904,7 +913,7 @@
         }
         let from = now.saturating_sub(rule.window);
         let warm = from.saturating_sub(started) as f64 / rule.warm_within.max(1) as f64;
-        let share = rule.start_share + (1.0 - rule.start_share) * warm.min(1.0);
+        let share = self.cold_part * (rule.start_share + (1.0 - rule.start_share) * warm.min(1.0));
         let mut budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
         if parent {
             let dearest = (0..self.mean.len()).map(|c| self.cost(c)).fold(0.0, f64::max);
