--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `pointspindle` program: arguments, logs and exit codes; everything else lives in the libraries.
 //!
 //! Exit codes: 0 well, 1 the answer is no (a broken rule, wrong settings), 2 it could not run.
+mod cache;
 mod call;
 mod control;
 mod etcd;
@@ -38,6 +39,11 @@
 enum Command {
     /// Run a dispatcher; without a file, an embedded fleet with sample objects on loopback.
     Serve(serve::Arguments),
+    /// Run a cache host: edge or parent cache with a store on disk, or a gateway to an HTTP origin.
+    Cache(cache::Arguments),
+    /// Look into a cache host's store, alive or dead.
+    #[command(subcommand)]
+    Store(cache::StoreCommand),
     /// Check a settings file; names file, line, key and reason of everything that is wrong.
     Check { file: PathBuf },
     /// Show the member list of a running dispatcher, or tell it changes.
@@ -80,6 +86,8 @@
     let done = runtime.block_on(async {
         match arguments.command {
             Command::Serve(arguments) => serve::run(arguments).await,
+            Command::Cache(arguments) => cache::run(arguments).await,
+            Command::Store(command) => cache::store(command),
             Command::Check { file } => check(&file),
             Command::Members(arguments) => control::members(arguments).await,
             Command::Purge(arguments) => control::purge(arguments).await,
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -82,7 +82,7 @@
 }
 
 /// Whole or not at all: whoever waits for the file never reads half of it.
-fn write_whole(file: &std::path::Path, bytes: &[u8]) -> std::io::Result<()> {
+pub(crate) fn write_whole(file: &std::path::Path, bytes: &[u8]) -> std::io::Result<()> {
     let mut beside = file.as_os_str().to_owned();
     beside.push(".new");
     std::fs::write(&beside, bytes)?;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,10 +3,12 @@
 //! [`load`] reads a file; nothing starts with a wrong one. `examples/edge.ini` shows every key.
 #![forbid(unsafe_code)]
 
+mod cache;
 mod members;
 mod reader;
 mod schema;
 
+pub use cache::{CacheClass, CacheSettings, OriginPlace, StorePlace};
 pub use members::{MemberSpec, Role};
 pub use reader::{Complaint, Complaints, Reader};
 pub use schema::{ClassSpec, EdgeSettings, EtcdSettings, Listen, Network, Tls, Upstream};
@@ -21,6 +23,21 @@
     parse(&name, &text)
 }
 
+/// Reads and checks the settings of a cache host.
+pub fn load_cache(path: &Path) -> Result<CacheSettings, Complaints> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Complaints::one(&name, 0, "", &format!("cannot be read: {e}")))?;
+    parse_cache(&name, &text)
+}
+
+pub fn parse_cache(name: &str, text: &str) -> Result<CacheSettings, Complaints> {
+    let mut reader = Reader::new(name, text)?;
+    let settings = cache::read(&mut reader);
+    reader.finish()?;
+    settings.ok_or_else(|| Complaints::one(name, 0, "", "nothing to start with"))
+}
+
 /// Reads and checks settings from a text; `name` stands in complaints.
 pub fn parse(name: &str, text: &str) -> Result<EdgeSettings, Complaints> {
     let mut reader = Reader::new(name, text)?;
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -447,7 +447,7 @@
     (ClassSpec { name, path_prefix, deadline_us }, class)
 }
 
-fn cold(r: &mut Reader, section: &str) -> ColdRule {
+pub(crate) fn cold(r: &mut Reader, section: &str) -> ColdRule {
     ColdRule {
         start_share: r.number(section, "start_share", 0.2, 0.0, 1.0),
         warm_within: r.ms(section, "warm_within_ms", 20_000.0, 0.0, 60.0 * MINUTE),
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -58,3 +58,13 @@
     wrong("max_attempts = 6", "max_attempts = 6\nmax_attempts = 7", "fleet.max_attempts");
     assert!(complaints("[dispatcher\nname = x")[0].starts_with("f.ini:"), "not INI, with its line");
 }
+
+#[test]
+fn the_example_of_a_cache_host_is_right_and_what_is_missing_is_named() {
+    let example = include_str!("../../../examples/cache.ini");
+    let s = pointspindle_config::parse_cache("cache.ini", example).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!((s.classes.len(), s.places, s.store.unwrap().segment), (3, 64, 64 << 20));
+    let gateway = example.replace("role = cache ", "role = origin ");
+    let told = pointspindle_config::parse_cache("cache.ini", &gateway).unwrap_err().to_string();
+    assert!(told.contains("cache.ini:5") && told.contains("[origin] address"), "{told}");
+}
--- a/crates/edge/src/net/door_http.rs
+++ b/crates/edge/src/net/door_http.rs
@@ -166,35 +166,25 @@
 }
 
 impl HttpClient {
+    /// Writes what was gathered. Dropped while waiting, what is left of it is still there.
     async fn write_out(&mut self) -> Result<(), ClientGone> {
-        let mut out = std::mem::take(&mut self.out);
-        let written = self.write_paced(&mut out).await;
-        self.out = out;
-        self.out.clear();
+        while !self.out.is_empty() {
+            self.begun = true;
+            let Self { write, out, pace, rule, slow, .. } = self;
+            write_some(write, out, pace, *rule, slow).await?;
+        }
         if self.out.capacity() > KEPT_BUFFER {
             self.out = BytesMut::new();
         }
-        written
+        Ok(())
     }
 
     /// Writes it all, while the client takes it fast enough.
     async fn write_paced(&mut self, bytes: &mut (impl Buf + Send)) -> Result<(), ClientGone> {
         self.begun = true;
-        let rule = self.rule;
-        let pace = self.pace.get_or_insert_with(|| Box::new(Pace::new(rule)));
         while bytes.has_remaining() {
-            let patience = pace.patience().map_or(Duration::MAX, Duration::from_micros);
-            let began = Instant::now();
-            let taken = match tokio::time::timeout(patience, self.write.write_buf(bytes)).await {
-                Ok(Ok(0) | Err(_)) => return Err(ClientGone),
-                Ok(Ok(taken)) => taken as u64,
-                Err(_) => 0,
-            };
-            if !pace.took(taken, began.elapsed().as_micros() as u64) {
-                self.slow.inc();
-                tracing::info!("the client takes too little of its answer");
-                return Err(ClientGone);
-            }
+            let Self { write, pace, rule, slow, .. } = self;
+            write_some(write, bytes, pace, *rule, slow).await?;
         }
         Ok(())
     }
@@ -222,6 +212,30 @@
     }
 }
 
+/// Writes what the client takes next, while it takes enough. Safe to drop while waiting.
+async fn write_some(
+    write: &WriteHalf,
+    bytes: &mut (impl Buf + Send),
+    pace: &mut Option<Box<Pace>>,
+    rule: PaceRule,
+    slow: &Counter,
+) -> Result<(), ClientGone> {
+    let pace = pace.get_or_insert_with(|| Box::new(Pace::new(rule)));
+    let patience = pace.patience().map_or(Duration::MAX, Duration::from_micros);
+    let began = Instant::now();
+    let taken = match tokio::time::timeout(patience, write.write_buf(bytes)).await {
+        Ok(Ok(0) | Err(_)) => return Err(ClientGone),
+        Ok(Ok(taken)) => taken as u64,
+        Err(_) => 0,
+    };
+    if !pace.took(taken, began.elapsed().as_micros() as u64) {
+        slow.inc();
+        tracing::info!("the client takes too little of its answer");
+        return Err(ClientGone);
+    }
+    Ok(())
+}
+
 impl ClientSide for HttpClient {
     async fn gone(&mut self) {
         if self.next.is_some() {
--- a/crates/edge/src/net/exchange.rs
+++ b/crates/edge/src/net/exchange.rs
@@ -85,12 +85,12 @@
         }
     };
     let closing = Closing { hub, id };
-    let mut exchange = Exchange { hub, id, class, asked, orders, began };
+    let mut exchange = Exchange { hub, closing, class, asked, orders, began, made: 0 };
     let fate = exchange.run(client).await;
     if matches!(fate, Fate::ClientGone) {
-        hub.tell(Input::Gone(id));
+        hub.tell(Input::Gone(exchange.closing.id));
     }
-    drop(closing);
+    drop(exchange);
     hub.metrics.request_ended(class, fate, began.elapsed());
     match fate {
         Fate::Served => {
@@ -125,11 +125,64 @@
 
 struct Exchange<'a> {
     hub: &'a Arc<Hub>,
-    id: u64,
+    closing: Closing<'a>,
     class: usize,
     asked: Asked,
     orders: UnboundedReceiver<Order>,
     began: Instant,
+    /// Attempts of what was asked before a resumption: numbers go on, as members see them.
+    made: u32,
+}
+
+/// What became of the attempts.
+enum Got {
+    Answer(u32, Call, AnswerHead),
+    Refused(Option<Micros>),
+    Failed,
+    ClientGone,
+}
+
+/// How far an answer has been passed on, for what is left of it to be had elsewhere.
+struct Progress {
+    validator: String,
+    whole: u64,
+    /// The next byte, and the first that is not wanted any more.
+    next: u64,
+    end: u64,
+    resumed: u32,
+}
+
+/// Times that one answer goes on from elsewhere.
+const RESUMED: u32 = 3;
+/// With less time left than this a resumption is not begun.
+const RESUME_LEAST: Micros = 50_000;
+
+impl Progress {
+    /// None: nothing tells which version it is, or where its end is.
+    fn of(head: &AnswerHead) -> Option<Self> {
+        let strong = !head.validator.is_empty() && !head.validator.starts_with("W/");
+        let size = head.size.filter(|_| strong && head.code == 0 && !head.not_modified)?;
+        let first = head.range_first.unwrap_or(0);
+        let whole = match head.range_first {
+            Some(_) => head.whole_size?,
+            None => size,
+        };
+        Some(Self { validator: head.validator.clone(), whole, next: first, end: first + size, resumed: 0 })
+    }
+
+    /// Whether an answer is what is left: of the same version, from the next byte to the end.
+    fn fits(&self, head: &AnswerHead) -> bool {
+        let span = (head.range_first, head.size, head.whole_size);
+        head.validator == self.validator
+            && span == (Some(self.next), Some(self.end - self.next), Some(self.whole))
+    }
+}
+
+/// How passing an answer on ended.
+enum Passed {
+    Fate(Fate),
+    /// The member's side broke; nothing of it is under way any more.
+    Broke,
 }
 
 /// What happened while waiting for the head.
@@ -142,6 +195,82 @@
 
 impl Exchange<'_> {
     async fn run<C: ClientSide>(&mut self, client: &mut C) -> Fate {
+        let (mut attempt, mut call, head) = match self.attempts(client).await {
+            Got::Answer(attempt, call, head) => (attempt, call, head),
+            Got::Refused(retry_after) => {
+                client.refuse(retry_after).await;
+                return Fate::Refused;
+            }
+            Got::Failed => {
+                client.fail().await;
+                return Fate::Failed;
+            }
+            Got::ClientGone => return Fate::ClientGone,
+        };
+        // Work that runs is not asked for in parts.
+        let safe = !self.hub.settings.router.classes[self.class].uncacheable;
+        let mut progress = Progress::of(&head).filter(|_| safe && !self.asked.template.head_only);
+        let mut first = Some(head);
+        loop {
+            match self.pass_on(client, attempt, call, first.take(), &mut progress).await {
+                Passed::Fate(fate) => return fate,
+                Passed::Broke => {}
+            }
+            (attempt, call) = match self.resume(client, &mut progress).await {
+                Got::Answer(attempt, call, _) => (attempt, call),
+                Got::ClientGone => return Fate::ClientGone,
+                Got::Refused(_) | Got::Failed => {
+                    client.break_off().await;
+                    return Fate::Broken;
+                }
+            };
+        }
+    }
+
+    /// What is left of an answer that broke, from elsewhere: a request of its own to the module, for the bytes from the next one on and
+    /// under the same validator. The broken attempt is over by now, so no two are under way.
+    async fn resume<C: ClientSide>(&mut self, client: &mut C, progress: &mut Option<Progress>) -> Got {
+        let waited = self.began.elapsed().as_micros() as Micros;
+        let left = self.asked.ask.left.saturating_sub(waited);
+        let Some(progress) = progress.as_mut().filter(|p| p.resumed < RESUMED && p.next < p.end) else {
+            return Got::Failed;
+        };
+        if left < RESUME_LEAST {
+            return Got::Failed;
+        }
+        progress.resumed += 1;
+        self.hub.close(self.closing.id);
+        let Ok((id, orders)) = self.hub.open(Ask { left, ..self.asked.ask.clone() }) else {
+            return Got::Failed;
+        };
+        self.made += self.hub.settings.router.max_attempts;
+        self.closing = Closing { hub: self.hub, id };
+        self.orders = orders;
+        self.asked.template.range = format!("bytes={}-{}", progress.next, progress.end - 1);
+        self.asked.template.if_range = progress.validator.clone();
+        self.asked.template.if_none_match = String::new();
+        match self.attempts(client).await {
+            Got::Answer(attempt, call, head) if progress.fits(&head) => {
+                self.hub.metrics.resumed.inc();
+                tracing::info!(
+                    next = progress.next,
+                    end = progress.end,
+                    "an answer goes on from elsewhere"
+                );
+                Got::Answer(attempt, call, head)
+            }
+            // Another version, or one that tells no ranges: the bytes would not belong together.
+            Got::Answer(_, call, _) => {
+                drop(call);
+                self.hub.tell(Input::Gone(self.closing.id));
+                Got::Failed
+            }
+            other => other,
+        }
+    }
+
+    /// The attempts, as the core orders them, until one of them answers.
+    async fn attempts<C: ClientSide>(&mut self, client: &mut C) -> Got {
         let mut current: Option<Attempt> = None;
         loop {
             let step = tokio::select! {
@@ -152,7 +281,7 @@
                 _ = client.gone() => Step::Gone,
             };
             match step {
-                Step::Gone | Step::Order(None) => return Fate::ClientGone,
+                Step::Gone | Step::Order(None) => return Got::ClientGone,
                 Step::Order(Some(Order::Send { attempt, member, timeout, fetch })) => {
                     tracing::debug!(attempt, member, ?fetch, "attempt");
                     let fetch = fetch.map(|f| FetchHead {
@@ -164,7 +293,8 @@
                         renew: f.renew,
                     });
                     let template = self.asked.template.clone();
-                    let request = RequestHead { fetch, left_us: timeout, attempt, ..template };
+                    let request =
+                        RequestHead { fetch, left_us: timeout, attempt: self.made + attempt, ..template };
                     current = Some(Attempt { number: attempt, member, request, call: None, head: None });
                 }
                 Step::Order(Some(Order::Abort { attempt })) => {
@@ -174,17 +304,15 @@
                 Step::Order(Some(Order::Commit { attempt })) => {
                     let Some(found) = current.take().filter(|a| a.number == attempt) else { continue };
                     let (Some(call), Some(head)) = (found.call, found.head) else { continue };
-                    return self.pass_on(client, attempt, call, head).await;
+                    return Got::Answer(attempt, call, head);
                 }
                 Step::Order(Some(Order::Refuse { retry_after })) => {
                     drop(current.take());
-                    client.refuse(retry_after).await;
-                    return Fate::Refused;
+                    return Got::Refused(retry_after);
                 }
                 Step::Order(Some(Order::Fail | Order::Break)) => {
                     drop(current.take());
-                    client.fail().await;
-                    return Fate::Failed;
+                    return Got::Failed;
                 }
                 Step::Call(Ok(call)) => {
                     if let Some(attempt) = &mut current {
@@ -198,7 +326,12 @@
                         // What is not sent says nothing of what sending costs.
                         let size = head.size.filter(|_| !head.not_modified && head.code == 0);
                         attempt.head = Some(head);
-                        self.hub.tell(Input::Head { request: self.id, attempt: number, note, size });
+                        self.hub.tell(Input::Head {
+                            request: self.closing.id,
+                            attempt: number,
+                            note,
+                            size,
+                        });
                     }
                 }
                 Step::Part(Part::Data(_)) => {}
@@ -210,33 +343,36 @@
     fn ended(&self, attempt: Option<Attempt>, end: AttemptEnd) {
         let Some(attempt) = attempt else { return };
         tracing::debug!(attempt = attempt.number, member = %attempt.member, ?end, "attempt ended");
-        self.hub.tell(Input::Ended { request: self.id, attempt: attempt.number, end });
+        self.hub.tell(Input::Ended { request: self.closing.id, attempt: attempt.number, end });
     }
 
-    /// The answer streams: from here on it is complete, or broken off, and no other attempt follows.
+    /// The answer streams: from here on it is complete, or goes on from elsewhere, or is broken off. `head`: none where it was passed on
+    /// before.
     async fn pass_on<C: ClientSide>(
         &mut self,
         client: &mut C,
         attempt: u32,
         mut call: Call,
-        head: AnswerHead,
-    ) -> Fate {
-        self.hub.metrics.first_byte(self.class, self.began.elapsed());
-        let passed_on = tokio::select! {
-            biased;
-            _ = self.orders.recv() => None,
-            passed_on = client.head(&head) => Some(passed_on),
-        };
-        match passed_on {
-            None => {
-                return break_off(call, client).await;
+        head: Option<AnswerHead>,
+        progress: &mut Option<Progress>,
+    ) -> Passed {
+        // Bytes that the client still misses: one that has them all may leave before the member's end comes.
+        let mut missing = progress.as_ref().map(|p| p.end - p.next);
+        if let Some(head) = head {
+            self.hub.metrics.first_byte(self.class, self.began.elapsed());
+            let passed_on = tokio::select! {
+                biased;
+                _ = self.orders.recv() => None,
+                passed_on = client.head(&head) => Some(passed_on),
+            };
+            match passed_on {
+                None => return Passed::Broke,
+                Some(Err(ClientGone)) => return Passed::Fate(Fate::ClientGone),
+                Some(Ok(())) => {}
             }
-            Some(Err(ClientGone)) => return Fate::ClientGone,
-            Some(Ok(())) => {}
+            let bodyless = head.not_modified || head.unsatisfiable || self.asked.template.head_only;
+            missing = if bodyless { Some(0) } else { head.size };
         }
-        // Bytes that the client still misses: one that has them all may leave before the member's end comes.
-        let bodyless = head.not_modified || head.unsatisfiable || self.asked.template.head_only;
-        let mut missing = if bodyless { Some(0) } else { head.size };
         loop {
             let part = match call.try_next() {
                 Some(part) => Some(part),
@@ -250,57 +386,55 @@
                     };
                     tokio::select! {
                         biased;
-                        _ = self.orders.recv() => {
-                            return break_off(call, client).await;
-                        }
+                        _ = self.orders.recv() => return Passed::Broke,
                         part = wait => match part {
                             Ok(part) => part,
-                            Err(ClientGone) => return Fate::ClientGone,
+                            Err(ClientGone) => return Passed::Fate(Fate::ClientGone),
                         },
                     }
                 }
             };
             match part {
                 Some(Part::Data(data)) => {
-                    missing = missing.map(|left: u64| left.saturating_sub(data.len() as u64));
+                    let bytes = data.len() as u64;
+                    missing = missing.map(|left: u64| left.saturating_sub(bytes));
                     let written = tokio::select! {
                         biased;
                         _ = self.orders.recv() => None,
                         written = client.data(data) => Some(written),
                     };
                     match written {
-                        Some(Ok(())) => {}
-                        Some(Err(ClientGone)) => return Fate::ClientGone,
+                        Some(Ok(())) => {
+                            if let Some(progress) = progress {
+                                progress.next += bytes;
+                            }
+                        }
+                        Some(Err(ClientGone)) => return Passed::Fate(Fate::ClientGone),
                         None => {
-                            return break_off(call, client).await;
+                            // How much of this piece went out is not known: nothing can follow it.
+                            *progress = None;
+                            return Passed::Broke;
                         }
                     }
                 }
                 Some(Part::End(CallEnd::Complete(_))) => {
                     let ended = client.end().await;
-                    self.hub.tell(Input::Ended { request: self.id, attempt, end: AttemptEnd::Complete });
-                    return if ended.is_ok() { Fate::Served } else { Fate::ClientGone };
+                    let request = self.closing.id;
+                    self.hub.tell(Input::Ended { request, attempt, end: AttemptEnd::Complete });
+                    return Passed::Fate(if ended.is_ok() { Fate::Served } else { Fate::ClientGone });
                 }
                 Some(Part::End(end)) => {
-                    client.break_off().await;
-                    let end = attempt_end(end);
-                    self.hub.tell(Input::Ended { request: self.id, attempt, end });
-                    return Fate::Broken;
+                    let (request, end) = (self.closing.id, attempt_end(end));
+                    self.hub.tell(Input::Ended { request, attempt, end });
+                    return Passed::Broke;
                 }
                 Some(Part::Head(_)) => {}
-                None => return Fate::Broken,
+                None => return Passed::Broke,
             }
         }
     }
 }
 
-/// The member is told first, then the client sees that its answer stays incomplete.
-async fn break_off<C: ClientSide>(call: Call, client: &mut C) -> Fate {
-    drop(call);
-    client.break_off().await;
-    Fate::Broken
-}
-
 /// Brings the current attempt one step on; waits for ever where there is none, or its head is held.
 async fn progress(hub: &Arc<Hub>, current: &mut Option<Attempt>) -> Step {
     match current {
--- a/crates/edge/src/net/metrics.rs
+++ b/crates/edge/src/net/metrics.rs
@@ -56,6 +56,7 @@
     pub dead_connections: Counter,
     pub lost_clients: Counter,
     pub tls_failed: Counter,
+    pub resumed: Counter,
     pub source_current: Gauge,
     pub source_gaps: Counter,
     pub source_bad: Counter,
@@ -133,6 +134,8 @@
         all.register("source_gaps", "Times that purges may have been missed", source_gaps.clone());
         all.register("source_bad", "Keys of the source that could not be used", source_bad.clone());
         all.register("peers", "Dispatchers that are registered", peers.clone());
+        let resumed = Counter::default();
+        all.register("resumed", "Answers that went on from another member", resumed.clone());
         let turned = "Connections turned away for want of a place";
         all.register("turned_away", turned, turned_away.clone());
         all.register("member_connections", "Connections to members", members_connected.clone());
@@ -171,6 +174,7 @@
             dead_connections,
             lost_clients,
             tls_failed,
+            resumed,
             source_current,
             source_gaps,
             source_bad,
--- a/crates/edge/tests/upstream.rs
+++ b/crates/edge/tests/upstream.rs
@@ -23,7 +23,7 @@
     Dispatcher::start(settings, 1).await.unwrap()
 }
 
-/// The status line of an answer.
+/// An answer, as far as it came.
 async fn get(at: SocketAddr, path: &str) -> String {
     let mut socket = TcpStream::connect(at).await.unwrap();
     let asked = format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
@@ -53,6 +53,7 @@
 impl Member {
     async fn accept(listener: &TcpListener) -> Self {
         let socket = timeout(PATIENCE, listener.accept()).await.expect("it connects").unwrap().0;
+        socket.set_nodelay(true).unwrap();
         Self { socket, read: Default::default(), write: FrameCodec::default() }
     }
 
@@ -87,9 +88,13 @@
 
     /// The next request's stream.
     async fn asked(&mut self) -> u32 {
+        self.request().await.0
+    }
+
+    async fn request(&mut self) -> (u32, RequestHead) {
         loop {
             match self.hear().await.expect("the connection is open") {
-                Frame::Request(id, _) => return id,
+                Frame::Request(id, head) => return (id, head),
                 Frame::Probe(p) if !p.echo => self.say(Frame::Probe(ProbeHead { echo: true, ..p })).await,
                 _ => {}
             }
@@ -230,3 +235,63 @@
         drop(member);
     }
 }
+
+/// A member that dies in the middle of a body: the rest comes from another one, from the next byte on and under the same validator; of
+/// another version not a byte is joined, and the client sees that its answer is short.
+#[tokio::test]
+async fn what_is_left_of_a_broken_answer_comes_from_elsewhere_or_not_at_all() {
+    for (second, served) in [("\"v1\"", true), ("\"v2\"", false)] {
+        let (one, two) = (
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        );
+        let text = format!(
+            "[dispatcher]\nzone = b\n[listen]\nhttp = 127.0.0.1:0\ndrain_ms = 100\n[zone b]\ndispatchers = 1\n\
+             [member one]\naddress = {}\nkind = cache\nzone = b\nweight = 50\n\
+             [member two]\naddress = {}\nkind = cache\nzone = b\nweight = 50\n\
+             [member origin]\naddress = 127.0.0.1:1\nkind = origin\nzone = b\nweight = 50\n\
+             [class page]\npath_prefix = /page/\ndeadline_ms = 8000\n",
+            one.local_addr().unwrap(),
+            two.local_addr().unwrap()
+        );
+        let settings = parse("test", &text).unwrap_or_else(|e| panic!("{e}"));
+        let dispatcher = Dispatcher::start(settings, 1).await.unwrap();
+        let http = dispatcher.bound().http.unwrap();
+        let asking = tokio::spawn(async move { get(http, "/page/1").await });
+        let (mut a, mut b) = (Member::accept(&one).await, Member::accept(&two).await);
+        a.hello(1).await;
+        b.hello(1).await;
+        // Whoever is asked first dies after four bytes of ten.
+        let ((id, asked), mut dies, mut lives, door) = tokio::select! {
+            asked = a.request() => (asked, a, b, one),
+            asked = b.request() => (asked, b, a, two),
+        };
+        assert_eq!(asked.range, "");
+        let head = AnswerHead {
+            size: Some(10),
+            validator: "\"v1\"".into(),
+            note: WireNote::Hit as i32,
+            ..Default::default()
+        };
+        dies.say(Frame::Head(id, head.clone())).await;
+        dies.say(Frame::Data(id, "0123".into())).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        drop((dies, door));
+        let (id, asked) = timeout(PATIENCE, lives.request()).await.unwrap();
+        assert_eq!((asked.range.as_str(), asked.if_range.as_str()), ("bytes=4-9", "\"v1\""));
+        let rest = AnswerHead {
+            size: Some(6),
+            range_first: Some(4),
+            whole_size: Some(10),
+            validator: second.into(),
+            ..head
+        };
+        lives.say(Frame::Head(id, rest)).await;
+        lives.say(Frame::Data(id, "456789".into())).await;
+        lives.say(Frame::End(id, EndHead { bytes: 6, load: None })).await;
+        let told = asking.await.unwrap();
+        assert!(told.starts_with("HTTP/1.1 200"), "{told}");
+        assert_eq!(told.ends_with("\r\n\r\n0123456789"), served, "{told}");
+        assert_eq!(told.ends_with("\r\n\r\n0123"), !served, "{told}");
+    }
+}
--- /dev/null
+++ b/crates/host/src/net/answer.rs
@@ -0,0 +1,602 @@
+//! One request: what the desk says of it is carried out, from the store or from a fill.
+use super::flow::{Flow, FlowEnd, FlowPart, FlowReader};
+use super::sources::{Began, Failed, OWN};
+use super::{wall_ms, Shared};
+use crate::desk::{Asked, FillId, Held, Verdict};
+use bytes::Bytes;
+use pointspindle::Micros;
+use pointspindle_link::Responder;
+use pointspindle_store::{Fill, Found, Key, Meta};
+use pointspindle_wire::http::names_validator;
+use pointspindle_wire::range::{Applied, Range};
+use pointspindle_wire::*;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A request that was joined to a fill and missed its beginning asks again, so often.
+const ROUNDS: usize = 3;
+
+/// Counts a request that is open.
+struct Open(Arc<Shared>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.lock().open -= 1;
+    }
+}
+
+/// Gives the place of a fill back also when its task is aborted.
+struct Place {
+    shared: Arc<Shared>,
+    fill: FillId,
+    flow: Arc<Flow>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let error = failed(WireStatus::Error, WireNote::SourceUnreachable, true, "the fill was given up");
+        self.flow.end(FlowEnd::Failed(Box::new(error)));
+        self.shared.fill_over(self.fill);
+    }
+}
+
+fn failed(status: WireStatus, note: WireNote, may_have_run: bool, detail: &str) -> ErrorHead {
+    let (status, note, detail) = (status as i32, note as i32, detail.to_owned());
+    ErrorHead { status, note, may_have_run, detail, ..ErrorHead::default() }
+}
+
+pub(super) async fn run(shared: Arc<Shared>, head: RequestHead, responder: Responder) {
+    // A way that was cut off for a while brings a request and its cancel together: nothing of it is begun.
+    if responder.is_gone() {
+        return;
+    }
+    let came = Instant::now();
+    let room = {
+        let mut locked = shared.lock();
+        locked.open += 1;
+        locked.open <= shared.settings.max_requests
+    };
+    let _open = Open(shared.clone());
+    let error = match room {
+        true => Request { shared: shared.clone(), head, came }.run(responder).await,
+        false => Some((responder, failed(WireStatus::Full, WireNote::Untold, false, "too many requests"))),
+    };
+    if let Some((responder, error)) = error {
+        let load = Some(shared.load());
+        let elapsed_us = came.elapsed().as_micros() as u64;
+        shared.count(|c| match error.status() {
+            WireStatus::Full => c.turned_away += 1,
+            WireStatus::Miss => c.misses += 1,
+            _ => c.failed += 1,
+        });
+        let _ = responder.error(ErrorHead { load, elapsed_us, ..error }).await;
+    }
+}
+
+struct Request {
+    shared: Arc<Shared>,
+    head: RequestHead,
+    came: Instant,
+}
+
+type Unanswered = Option<(Responder, ErrorHead)>;
+
+impl Request {
+    fn key(&self) -> Key {
+        Meta { object: self.head.object.clone(), part: self.head.part, ..Meta::default() }.key()
+    }
+
+    async fn run(self, responder: Responder) -> Unanswered {
+        let shared = self.shared.clone();
+        let Some(class) = shared.settings.classes.iter().find(|c| c.name == self.head.class).cloned()
+        else {
+            let why = format!("no class {:?} here", self.head.class);
+            return Some((responder, failed(WireStatus::Error, WireNote::Untold, false, &why)));
+        };
+        let key = self.key();
+        for _ in 0..ROUNDS {
+            let found = self.find(&key, class.uncacheable).await;
+            let fresh = (class.fresh_us > 0).then_some(class.fresh_us);
+            let fresh = found.as_ref().map_or(fresh, |f| fresh_of(&f.meta).or(fresh));
+            let own = shared.settings.origin.is_some().then_some(OWN);
+            let mut asked = Asked::of(&self.head, key, fresh, own, class.uncacheable);
+            if shared.store.is_none() {
+                asked.keep = 0;
+            }
+            let held = found.as_ref().map(|f| Held { age: shared.age(&f.meta) });
+            let verdict = shared.lock().desk.ask(asked.clone(), held);
+            match verdict {
+                Verdict::Serve { old, renew } => {
+                    let Some(found) = found else { continue };
+                    if let Some(fill) = renew {
+                        let known = Some(found.meta.validator.clone());
+                        self.spawn_fill(fill, &asked, known, class.uncacheable, true);
+                    }
+                    shared.hit(true);
+                    shared.count(|c| if old { c.old += 1 } else { c.hits += 1 });
+                    let note = if old { WireNote::Old } else { WireNote::Hit };
+                    return self.serve_held(responder, found, note).await;
+                }
+                Verdict::Miss => {
+                    shared.hit(false);
+                    return Some((
+                        responder,
+                        failed(WireStatus::Miss, WireNote::Untold, false, "not held"),
+                    ));
+                }
+                Verdict::Full => {
+                    let why = "every fill has its place taken, and so has the line";
+                    return Some((responder, failed(WireStatus::Full, WireNote::NoFillPlace, false, why)));
+                }
+                Verdict::Join(fill) => {
+                    let flow = shared.lock().flows.get(&fill).map(|(.., flow)| flow.clone());
+                    let Some(flow) = flow else { continue };
+                    shared.hit(false);
+                    match flow.reader() {
+                        Some(reader) => {
+                            shared.count(|c| c.joined += 1);
+                            return self.serve_fill(responder, reader, Some(WireNote::Joined)).await;
+                        }
+                        // Its beginning has gone by: the copy is there when it has ended.
+                        None => tokio::select! {
+                            _ = flow.over() => {}
+                            () = responder.gone() => return None,
+                        },
+                    }
+                }
+                Verdict::Fill(fill) => {
+                    return self.fill(responder, fill, &asked, found, class.uncacheable).await
+                }
+                Verdict::Wait(waiter) => {
+                    let (sender, turn) = oneshot::channel();
+                    shared.lock().turns.insert(waiter, sender);
+                    let turn = tokio::select! {
+                        turn = turn => turn.ok().flatten(),
+                        () = responder.gone() => None,
+                        () = tokio::time::sleep(Duration::from_micros(self.left())) => None,
+                    };
+                    let late = {
+                        let mut locked = shared.lock();
+                        locked.desk.leave(waiter);
+                        locked.turns.remove(&waiter).is_some()
+                    };
+                    match turn {
+                        Some(fill) => {
+                            return self.fill(responder, fill, &asked, found, class.uncacheable).await
+                        }
+                        None if responder.is_gone() || !late => return None,
+                        None => {
+                            let why = "no place for a fill in time";
+                            let error = failed(WireStatus::Full, WireNote::NoFillPlace, false, why);
+                            return Some((responder, error));
+                        }
+                    }
+                }
+            }
+        }
+        let why = "the copy was gone again each time";
+        Some((responder, failed(WireStatus::Error, WireNote::SourceUnreachable, true, why)))
+    }
+
+    /// Time that the asker still waits.
+    fn left(&self) -> Micros {
+        let most = self.shared.settings.fill_us;
+        let told = if self.head.left_us == 0 { most } else { self.head.left_us.min(most) };
+        told.saturating_sub(self.came.elapsed().as_micros() as Micros)
+    }
+
+    async fn find(&self, key: &Key, uncacheable: bool) -> Option<Found> {
+        let (shared, key) = (self.shared.clone(), *key);
+        if uncacheable || shared.store.is_none() {
+            return None;
+        }
+        let found = tokio::task::spawn_blocking(move || shared.held(&key)).await.ok()??;
+        // Another object under the same number has never been seen, and would be served to nobody.
+        (found.meta.object == self.head.object).then_some(found)
+    }
+
+    fn elapsed(&self) -> u64 {
+        self.came.elapsed().as_micros() as u64
+    }
+
+    async fn serve_held(&self, mut responder: Responder, found: Found, note: WireNote) -> Unanswered {
+        let age_us = self.shared.age(&found.meta);
+        let head = AnswerHead {
+            note: note as i32,
+            size: Some(found.meta.size),
+            age_us,
+            validator: found.meta.validator.clone(),
+            content_type: found.meta.content_type.clone(),
+            fresh_left_us: fresh_of(&found.meta).map(|fresh| fresh.saturating_sub(age_us)),
+            ..AnswerHead::default()
+        };
+        let (head, cut) = cut(head, &self.head);
+        let load = self.shared.load();
+        let head = AnswerHead { elapsed_us: self.elapsed(), load: Some(load), ..head };
+        let block = self.shared.settings.store.as_ref().map_or(1, |s| u64::from(s.block));
+        let found = Arc::new(found);
+        let (mut at, end) = (cut.from, cut.from + cut.len);
+        // The first block before the head: a copy that cannot be read is no answer, and another one may be had.
+        let mut begun = Some(head);
+        while at < end || begun.is_some() {
+            let mut piece = Bytes::new();
+            if at < end {
+                let n = (at / block) as usize;
+                let read = match found.in_memory(n) {
+                    Some(bytes) => Ok(bytes),
+                    None => {
+                        let found = found.clone();
+                        let read = tokio::task::spawn_blocking(move || found.read(n)).await;
+                        read.map_err(|e| e.to_string()).and_then(|r| r.map_err(|e| e.to_string()))
+                    }
+                };
+                let bytes = match read {
+                    Ok(bytes) => bytes,
+                    Err(why) => {
+                        tracing::error!(object = %self.head.object, why, "a copy is not what it should be");
+                        let status = if begun.is_some() { WireStatus::Miss } else { WireStatus::Error };
+                        return Some((responder, failed(status, WireNote::Untold, false, &why)));
+                    }
+                };
+                let from = (at % block) as usize;
+                let to = ((end - n as u64 * block).min(block) as usize).min(bytes.len());
+                if to <= from {
+                    let why = "a copy is shorter than it says";
+                    return Some((responder, failed(WireStatus::Error, WireNote::Untold, false, why)));
+                }
+                piece = bytes.slice(from..to);
+                at += piece.len() as u64;
+            }
+            if let Some(head) = begun.take() {
+                if responder.head(head).await.is_err() {
+                    return None;
+                }
+            }
+            self.shared.count(|c| c.bytes_out += piece.len() as u64);
+            if responder.data(piece).await.is_err() {
+                return None;
+            }
+        }
+        let _ = responder.end(Some(self.shared.load())).await;
+        None
+    }
+
+    /// Begins a fill of its own, reads from it as any other does.
+    async fn fill(
+        &self,
+        responder: Responder,
+        fill: FillId,
+        asked: &Asked<Key>,
+        found: Option<Found>,
+        uncacheable: bool,
+    ) -> Unanswered {
+        self.shared.hit(false);
+        let validator = found.map(|f| f.meta.validator.clone()).filter(|v| !v.is_empty());
+        let conditional = validator.is_some();
+        let Some(reader) = self.spawn_fill(fill, asked, validator, uncacheable, false) else {
+            let why = "the fill was over before it was read";
+            return Some((responder, failed(WireStatus::Error, WireNote::Untold, true, why)));
+        };
+        if conditional {
+            // Confirmed: what is held is the answer.
+            if let Ok(head) = reader.head().await {
+                if head.not_modified {
+                    let key = self.key();
+                    if let Some(found) = self.find(&key, uncacheable).await {
+                        let note = WireNote::try_from(head.note).unwrap_or(WireNote::Filled);
+                        return self.serve_held(responder, found, note).await;
+                    }
+                }
+            }
+        }
+        self.serve_fill(responder, reader, None).await
+    }
+
+    /// The fill's task, and its first reader.
+    fn spawn_fill(
+        &self,
+        fill: FillId,
+        asked: &Asked<Key>,
+        validator: Option<String>,
+        uncacheable: bool,
+        renewing: bool,
+    ) -> Option<FlowReader> {
+        let flow = Arc::new(Flow::default());
+        let reader = flow.reader();
+        self.shared.lock().flows.insert(fill, (asked.key, self.head.group, flow.clone()));
+        let place = Place { shared: self.shared.clone(), fill, flow };
+        let shape = &self.head;
+        let fetch = FetchHead {
+            source: String::new(),
+            keep: asked.keep,
+            // Behind an old copy the newest is wanted: the source's may be as old.
+            age_us: if renewing { 1 } else { asked.limit.unwrap_or(0) },
+            join: asked.join && !renewing,
+            held_only: asked.held_only,
+            renew: false,
+        };
+        let request = RequestHead {
+            object: shape.object.clone(),
+            part: shape.part,
+            group: shape.group,
+            class: shape.class.clone(),
+            left_us: self.shared.settings.fill_us,
+            fetch: Some(fetch),
+            trace: shape.trace.clone(),
+            attempt: shape.attempt,
+            key: shape.key.clone(),
+            if_none_match: validator.unwrap_or_default(),
+            head_only: uncacheable && shape.head_only,
+            ..RequestHead::default()
+        };
+        let filling = Filling {
+            source: asked.source.clone().unwrap_or_default(),
+            keep: asked.keep,
+            key: asked.key,
+            uncacheable,
+            request,
+        };
+        tokio::spawn(filling.run(place));
+        reader
+    }
+
+    async fn serve_fill(
+        &self,
+        mut responder: Responder,
+        reader: FlowReader,
+        note: Option<WireNote>,
+    ) -> Unanswered {
+        let left = Duration::from_micros(self.left());
+        let head = tokio::select! {
+            head = reader.head() => head,
+            () = responder.gone() => return None,
+            () = tokio::time::sleep(left) => {
+                let why = "no answer of the source in time";
+                return Some((responder, failed(WireStatus::Error, WireNote::SourceUnreachable, true, why)));
+            }
+        };
+        let head = match head {
+            Ok(head) => head,
+            Err(FlowEnd::Failed(error)) => return Some((responder, *error)),
+            Err(FlowEnd::Complete) => {
+                let why = "an answer without a head";
+                return Some((responder, failed(WireStatus::Error, WireNote::Untold, true, why)));
+            }
+        };
+        let mut head = AnswerHead::clone(&head);
+        if let Some(note) = note {
+            head.note = note as i32;
+        }
+        let (head, cut) = cut(head, &self.head);
+        let bodyless = head.not_modified || head.unsatisfiable || self.head.head_only;
+        let load = Some(self.shared.load());
+        let head = AnswerHead { elapsed_us: self.elapsed(), load, ..head };
+        let (mut at, end) = (0_u64, cut.from.saturating_add(cut.len));
+        if responder.head(head).await.is_err() {
+            return None;
+        }
+        while !(bodyless || at >= end && cut.known) {
+            let part = tokio::select! {
+                part = reader.next() => part,
+                () = responder.gone() => return None,
+            };
+            match part {
+                FlowPart::Data(data) => {
+                    let (from, to) = (at, at + data.len() as u64);
+                    at = to;
+                    let first = cut.from.clamp(from, to) - from;
+                    let last = end.clamp(from, to) - from;
+                    let piece = data.slice(first as usize..last as usize);
+                    self.shared.count(|c| c.bytes_out += piece.len() as u64);
+                    if !piece.is_empty() && responder.data(piece).await.is_err() {
+                        return None;
+                    }
+                }
+                FlowPart::End(FlowEnd::Complete) => break,
+                FlowPart::End(FlowEnd::Failed(error)) => return Some((responder, *error)),
+                FlowPart::Lost => {
+                    let why = "too slow for those who read the same fill";
+                    return Some((responder, failed(WireStatus::Error, WireNote::Untold, false, why)));
+                }
+            }
+        }
+        let _ = responder.end(Some(self.shared.load())).await;
+        None
+    }
+}
+
+/// Which bytes of the body are sent.
+struct Cut {
+    from: u64,
+    len: u64,
+    /// The whole's size is known.
+    known: bool,
+}
+
+/// The head with the range and the validator that were asked for applied (RFC 9110, sections 13 and 14).
+fn cut(mut head: AnswerHead, asked: &RequestHead) -> (AnswerHead, Cut) {
+    let whole = head.size;
+    let mut cut = Cut { from: 0, len: whole.unwrap_or(u64::MAX), known: whole.is_some() };
+    let same = !head.validator.is_empty() && names_validator(&asked.if_none_match, &head.validator);
+    if same && head.code == 0 {
+        head.not_modified = true;
+    }
+    // A weak validator holds no range together (13.1.5).
+    let strong = !head.validator.starts_with("W/");
+    let wanted = !asked.range.is_empty()
+        && (asked.if_range.is_empty() || (strong && asked.if_range == head.validator));
+    let range = Range::parse(&asked.range).filter(|_| wanted && head.code == 0 && !head.not_modified);
+    match (range, whole) {
+        (Some(range), Some(whole)) => match range.apply(whole) {
+            Applied::Part(first, last) => {
+                (cut.from, cut.len) = (first, last + 1 - first);
+                (head.size, head.range_first, head.whole_size) = (Some(cut.len), Some(first), Some(whole));
+            }
+            Applied::Unsatisfiable => {
+                cut.len = 0;
+                (head.size, head.whole_size, head.unsatisfiable) = (Some(0), Some(whole), true);
+            }
+        },
+        _ if head.not_modified => head.size = None,
+        _ => {}
+    }
+    if head.not_modified || asked.head_only {
+        (cut.len, cut.known) = (0, true);
+    }
+    (head, cut)
+}
+
+/// How long a copy is fresh from its birth, where its origin said so.
+fn fresh_of(meta: &Meta) -> Option<Micros> {
+    (meta.fresh_until_ms > 0).then(|| meta.fresh_until_ms.saturating_sub(meta.born_ms) * 1_000)
+}
+
+struct Filling {
+    source: String,
+    keep: u32,
+    key: Key,
+    uncacheable: bool,
+    request: RequestHead,
+}
+
+impl Filling {
+    async fn run(self, place: Place) {
+        let longest = Duration::from_micros(place.shared.settings.fill_us);
+        place.shared.count(|c| c.fills += 1);
+        let asked_ms = wall_ms();
+        // Begun before it is asked for: a purge in between strikes what the source may have taken before it.
+        let begun = place.shared.store.as_ref().map(|store| store.begin(Meta::default()));
+        let asking = place.shared.sources.ask(&self.source, self.request.clone(), self.uncacheable);
+        let began = match tokio::time::timeout(longest, asking).await {
+            Ok(Ok(began)) => began,
+            Ok(Err(why)) => return place.flow.end(FlowEnd::Failed(Box::new(self.error(why)))),
+            Err(_) => {
+                let why = Failed::Broke(format!("{}: no answer in time", self.source));
+                return place.flow.end(FlowEnd::Failed(Box::new(self.error(why))));
+            }
+        };
+        let end = match tokio::time::timeout(longest, self.pass_on(&place, began, begun, asked_ms)).await {
+            Ok(Ok(())) => FlowEnd::Complete,
+            Ok(Err(why)) => FlowEnd::Failed(Box::new(self.error(why))),
+            Err(_) => FlowEnd::Failed(Box::new(self.error(Failed::Broke("not complete in time".into())))),
+        };
+        place.flow.end(end);
+    }
+
+    /// How a source's failure is told: whose it is, and whether the work may have run.
+    fn error(&self, why: Failed) -> ErrorHead {
+        let origin = self.source == OWN;
+        match why {
+            Failed::Unreachable(why) => {
+                let note = if origin { WireNote::OriginFailed } else { WireNote::SourceUnreachable };
+                failed(WireStatus::Error, note, false, &why)
+            }
+            Failed::Broke(why) => {
+                let note = if origin { WireNote::OriginFailed } else { WireNote::SourceUnreachable };
+                failed(WireStatus::Error, note, true, &why)
+            }
+            Failed::Told(e) => {
+                let note = match (e.status(), e.note()) {
+                    (WireStatus::Miss, _) => WireNote::SourceLacks,
+                    (_, WireNote::OriginFailed) => WireNote::OriginFailed,
+                    (WireStatus::Full, _) => WireNote::SourceRefused,
+                    _ => WireNote::SourceUnreachable,
+                };
+                failed(WireStatus::Error, note, e.may_have_run, &e.detail)
+            }
+        }
+    }
+
+    async fn pass_on(
+        &self,
+        place: &Place,
+        began: Began,
+        begun: Option<Fill>,
+        asked_ms: u64,
+    ) -> Result<(), Failed> {
+        let shared = &place.shared;
+        let Began { head, no_store, mut answer } = began;
+        // No younger than the question (RFC 9111, 4.2.3): its source may have taken it long before its head came.
+        let now_ms = shared.store.as_ref().map_or(asked_ms, |s| s.now_ms(asked_ms));
+        let born_ms = now_ms.saturating_sub(head.age_us.div_ceil(1_000));
+        let fresh_until_ms =
+            head.fresh_left_us.map_or(0, |left| (born_ms + (head.age_us + left) / 1_000).max(born_ms + 1));
+        let note = match head.note() {
+            WireNote::FilledByOrigin => WireNote::FilledByOrigin,
+            _ => WireNote::Filled,
+        };
+        let meta = Meta {
+            object: self.request.object.clone(),
+            part: self.request.part,
+            group: self.request.group,
+            validator: head.validator.clone(),
+            content_type: head.content_type.clone(),
+            size: head.size.unwrap_or(0),
+            born_ms,
+            fresh_until_ms,
+            rank: self.keep,
+            ..Meta::default()
+        };
+        let kept = self.keep > 0 && !no_store && !self.uncacheable && head.code == 0;
+        if head.not_modified {
+            let renewed = shared.store.is_some() && self.renew(shared, meta).await;
+            shared.count(|c| c.renewed += u64::from(renewed));
+            place.flow.head(AnswerHead { note: note as i32, ..head });
+            while answer.next().await?.is_some() {}
+            return Ok(());
+        }
+        let mut fill = begun.filter(|_| kept);
+        if let Some(fill) = &mut fill {
+            fill.describe(meta);
+        }
+        place.flow.head(AnswerHead { note: note as i32, range_first: None, ..head });
+        let slow = Duration::from_micros(shared.settings.slow_us);
+        while let Some(data) = answer.next().await? {
+            shared.count(|c| c.bytes_in += data.len() as u64);
+            if let Some(mut filling) = fill.take() {
+                let bytes = data.clone();
+                let written =
+                    tokio::task::spawn_blocking(move || filling.write(&bytes).map(|()| filling)).await;
+                // No room, or a disk that fails: it passes through.
+                match written {
+                    Ok(Ok(filling)) => fill = Some(filling),
+                    Ok(Err(e)) => tracing::debug!(error = %e, "not kept"),
+                    Err(e) => tracing::error!(error = %e, "not kept"),
+                }
+            }
+            if !place.flow.has_readers() && fill.is_none() {
+                return Err(Failed::Broke("nobody wants it any more".into()));
+            }
+            place.flow.data(data, slow).await;
+        }
+        if let Some(filling) = fill {
+            let committed = tokio::task::spawn_blocking(move || filling.commit(wall_ms())).await;
+            if let Ok(Err(e)) = committed {
+                tracing::debug!(object = %self.request.object, error = %e, "not kept");
+            }
+        }
+        Ok(())
+    }
+
+    async fn renew(&self, shared: &Arc<Shared>, meta: Meta) -> bool {
+        let (shared, key) = (shared.clone(), self.key);
+        let renewed = tokio::task::spawn_blocking(move || {
+            let found = shared.held(&key)?;
+            // Another copy than the one that was asked about.
+            if !meta.validator.is_empty() && meta.validator != found.meta.validator {
+                return Some(false);
+            }
+            let meta = Meta {
+                validator: found.meta.validator.clone(),
+                content_type: found.meta.content_type.clone(),
+                size: found.meta.size,
+                rank: meta.rank.max(found.meta.rank),
+                ..meta
+            };
+            shared.store.as_ref()?.renew(&found, meta, wall_ms()).ok()
+        });
+        renewed.await.ok().flatten().unwrap_or(false)
+    }
+}
--- /dev/null
+++ b/crates/host/src/net/mod.rs
@@ -0,0 +1,473 @@
+//! The cache host on tokio: one listener for requests, one for operators, one store, one desk.
+mod answer;
+mod flow;
+mod sources;
+
+use crate::desk::{Desk, FillId, Rule, Turn, Waiter};
+use crate::lease::{Grant, Ledger, UserId};
+use flow::Flow;
+use pointspindle::Micros;
+use pointspindle_config::{CacheSettings, Role, StorePlace};
+use pointspindle_link::{Inbound, Line, Link, LinkOptions, Listener, Net};
+use pointspindle_store::{Folder, Key, Meta, Options, Stats, Store, StoreError, What};
+use pointspindle_wire::streams::Side;
+use pointspindle_wire::*;
+use sources::Sources;
+use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// The host's clock starts here, so that its process may have started before.
+const EPOCH: Micros = 1_000_000_000_000;
+/// Share by which one answer moves the share of hits that is told.
+const HIT_STEP: f64 = 0.02;
+
+#[derive(Debug, thiserror::Error)]
+pub enum HostError {
+    #[error("cannot listen on {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    #[error("store {0}: {1}")]
+    Store(std::path::PathBuf, StoreError),
+}
+
+/// Where it listens, with the ports that were given.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub struct HostBound {
+    pub framed: SocketAddr,
+    pub control: Option<SocketAddr>,
+}
+
+/// What the host has done since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub hits: u64,
+    pub old: u64,
+    pub fills: u64,
+    pub joined: u64,
+    pub misses: u64,
+    pub turned_away: u64,
+    pub failed: u64,
+    pub renewed: u64,
+    /// From sources, and to askers.
+    pub bytes_in: u64,
+    pub bytes_out: u64,
+}
+
+struct Locked {
+    desk: Desk<Key>,
+    flows: HashMap<FillId, (Key, u64, Arc<Flow>)>,
+    turns: HashMap<Waiter, oneshot::Sender<Option<FillId>>>,
+    ledger: Option<(Ledger, HashMap<UserId, Link>)>,
+    next_user: UserId,
+    counts: Counts,
+    hits: f64,
+    open: usize,
+}
+
+pub(crate) struct Shared {
+    locked: Mutex<Locked>,
+    pub settings: CacheSettings,
+    pub store: Option<Store>,
+    pub sources: Sources,
+    born: Instant,
+    /// Of this process, and since when it counts as cold; none: it came back warm.
+    hello: HelloHead,
+}
+
+/// A running cache host.
+pub struct Host {
+    shared: Arc<Shared>,
+    bound: HostBound,
+    stop: watch::Sender<bool>,
+    doors: JoinSet<()>,
+    helpers: JoinSet<()>,
+}
+
+impl std::fmt::Debug for Host {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Host at {}", self.bound.framed)
+    }
+}
+
+pub(crate) fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+fn open_store(place: &StorePlace) -> Result<Store, StoreError> {
+    let options = Options {
+        capacity: place.capacity,
+        segment: place.segment,
+        block: place.block,
+        memory: place.memory,
+    };
+    Store::open(Arc::new(Folder::lock(&place.path)?), options, wall_ms())
+}
+
+impl Host {
+    pub async fn start(settings: CacheSettings, net: Net) -> Result<Self, HostError> {
+        let mut store = None;
+        if let Some(place) = settings.store.clone() {
+            let path = place.path.clone();
+            let opened = tokio::task::spawn_blocking(move || open_store(&place)).await;
+            let opened = opened.unwrap_or_else(|e| Err(StoreError::Disk(std::io::Error::other(e))));
+            store = Some(opened.map_err(|e| HostError::Store(path, e))?);
+        }
+        let failed = |at: SocketAddr| move |e| HostError::Listen(at, e);
+        let framed = net.listen_again(settings.framed).await.map_err(failed(settings.framed))?;
+        let control = match settings.control {
+            Some(at) => Some(net.listen_again(at).await.map_err(failed(at))?),
+            None => None,
+        };
+        let at = framed.local_addr().map_err(failed(settings.framed))?;
+        let control_at = control.as_ref().and_then(|c| c.local_addr().ok());
+        // What was left on disk is counted before the first request: a warm host must not pass for a cold one.
+        let warm = match (&store, &settings.store) {
+            (Some(store), Some(place)) => {
+                let stats = store.stats();
+                let left = stats.live_bytes.max(stats.disk_bytes + stats.pending_bytes);
+                left as f64 >= place.warm_share * place.capacity as f64
+            }
+            _ => true,
+        };
+        let process = std::hash::RandomState::new().build_hasher().finish().max(1);
+        let hello = HelloHead { process, started_ago_us: (!warm).then_some(0), ..HelloHead::default() };
+        let dearest = settings.classes.iter().map(|c| c.mean_us as f64 / 1e6).fold(0.0, f64::max);
+        let cold = (!warm && settings.role == Role::Cache && settings.cold.warm_within > 0)
+            .then(|| (Ledger::new(settings.cold, settings.weight, EPOCH, dearest), HashMap::new()));
+        let locked = Locked {
+            desk: Desk::new(Rule { places: settings.places, queue: settings.queue }),
+            flows: HashMap::new(),
+            turns: HashMap::new(),
+            ledger: cold,
+            next_user: 0,
+            counts: Counts::default(),
+            hits: 0.0,
+            open: 0,
+        };
+        let sources = Sources::new(&settings, net);
+        let shared = Arc::new(Shared {
+            locked: Mutex::new(locked),
+            settings,
+            store,
+            sources,
+            born: Instant::now(),
+            hello,
+        });
+        let (stop, stopping) = watch::channel(false);
+        let (mut doors, mut helpers) = (JoinSet::new(), JoinSet::new());
+        doors.spawn(accept(shared.clone(), framed, stopping.clone(), false));
+        if let Some(control) = control {
+            doors.spawn(accept(shared.clone(), control, stopping, true));
+        }
+        helpers.spawn(keep_store(shared.clone()));
+        helpers.spawn(lease_out(shared.clone()));
+        let bound = HostBound { framed: at, control: control_at };
+        tracing::info!(name = %shared.settings.name, ?bound, warm, "cache host listens");
+        Ok(Self { shared, bound, stop, doors, helpers })
+    }
+
+    pub fn bound(&self) -> HostBound {
+        self.bound
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().counts
+    }
+
+    pub fn store(&self) -> Option<Stats> {
+        self.shared.store.as_ref().map(Store::stats)
+    }
+
+    /// Whether it tells dispatchers that it has just started.
+    pub fn is_cold(&self) -> bool {
+        self.shared.hello.started_ago_us.is_some()
+    }
+
+    /// Takes nothing new, answers what was accepted, and leaves the store so that the next start is quick. True if all was
+    /// answered in time.
+    pub async fn stop(mut self) -> bool {
+        let _ = self.stop.send(true);
+        let longest = Duration::from_micros(self.shared.settings.drain_us);
+        let ended = async { while self.doors.join_next().await.is_some() {} };
+        let drained = tokio::time::timeout(longest, ended).await.is_ok();
+        self.doors.shutdown().await;
+        self.helpers.shutdown().await;
+        if let Some(store) = self.shared.store.clone() {
+            let closed = tokio::task::spawn_blocking(move || store.close()).await;
+            if let Ok(Err(e)) = closed {
+                tracing::error!(error = %e, "the store could not be closed well");
+            }
+        }
+        drained
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Locked> {
+        self.locked.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    pub fn now(&self) -> Micros {
+        EPOCH + self.born.elapsed().as_micros() as Micros
+    }
+
+    pub fn count(&self, what: impl FnOnce(&mut Counts)) {
+        what(&mut self.lock().counts);
+    }
+
+    /// An answer was or was not what is held.
+    pub fn hit(&self, hit: bool) {
+        let mut locked = self.lock();
+        let hits = locked.hits;
+        locked.hits += HIT_STEP * (f64::from(hit) - hits);
+    }
+
+    pub fn load(&self) -> LoadReport {
+        let locked = self.lock();
+        let util = locked.desk.filling() as f64 / self.settings.places as f64;
+        LoadReport { util, hits: locked.hits, link: 0.0 }
+    }
+
+    /// A fill has ended: the next one in the line has its turn.
+    pub fn fill_over(&self, fill: FillId) {
+        let mut locked = self.lock();
+        locked.flows.remove(&fill);
+        let mut ended = fill;
+        while let Some(Turn { waiter, fill }) = locked.desk.over(ended) {
+            match locked.turns.remove(&waiter).map(|turn| turn.send(Some(fill))) {
+                Some(Ok(())) => return,
+                // It has left meanwhile.
+                _ => ended = fill,
+            }
+        }
+    }
+
+    /// Takes away what it strikes; durable when this returns well.
+    async fn purge(&self, head: &PurgeHead) -> Result<usize, String> {
+        let what = match &head.object {
+            Some(object) => What::Object(object.clone()),
+            None => What::Group(head.group),
+        };
+        let object = head.object.as_deref().map(pointspindle_store::record::object_number);
+        {
+            let mut locked = self.lock();
+            let struck = |key: &Key, group: u64| object.map_or(group == head.group, |o| key.object == o);
+            let keys: Vec<Key> =
+                locked.flows.values().filter(|(k, g, _)| struck(k, *g)).map(|(k, ..)| *k).collect();
+            for key in keys {
+                locked.desk.shut(&key);
+            }
+        }
+        let Some(store) = self.store.clone() else { return Ok(0) };
+        let done = tokio::task::spawn_blocking(move || store.purge(&what)).await;
+        done.map_err(|e| e.to_string())?.map_err(|e| e.to_string())
+    }
+
+    pub fn held(&self, key: &Key) -> Option<pointspindle_store::Found> {
+        self.store.as_ref()?.get(key)
+    }
+
+    /// How old a copy is.
+    pub fn age(&self, meta: &Meta) -> Micros {
+        let now = self.store.as_ref().map_or(0, |s| s.now_ms(wall_ms()));
+        now.saturating_sub(meta.born_ms) * 1_000
+    }
+}
+
+async fn accept(
+    shared: Arc<Shared>,
+    mut listener: Listener,
+    mut stop: watch::Receiver<bool>,
+    operators: bool,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(&mut stop) => break,
+        };
+        while connections.try_join_next().is_some() {}
+        match accepted {
+            Ok(_) if connections.len() >= shared.settings.max_connections => {}
+            Ok((line, _)) => {
+                connections.spawn(serve(shared.clone(), line, stop.clone(), operators));
+            }
+            Err(e) => {
+                tracing::warn!(error = %e, "accept failed");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+/// Gives a lease up with its connection.
+struct Using {
+    shared: Arc<Shared>,
+    user: Option<UserId>,
+}
+
+impl Drop for Using {
+    fn drop(&mut self) {
+        if let (Some(user), Some((ledger, links))) = (self.user, &mut self.shared.lock().ledger) {
+            ledger.leave(user);
+            links.remove(&user);
+        }
+    }
+}
+
+fn lease(grant: &Grant) -> LeaseHead {
+    let (work_us, by_asking) = ((grant.work * 1e6).round() as u64, grant.by_asking);
+    LeaseHead { work_us, for_us: grant.lasts, by_asking, answers: false }
+}
+
+async fn serve(shared: Arc<Shared>, line: Line, mut stop: watch::Receiver<bool>, operators: bool) {
+    let options = LinkOptions { max_streams: shared.settings.max_streams };
+    let (link, mut incoming) = Link::start(line, Side::Answerer, options);
+    if !operators {
+        let ago = shared.hello.started_ago_us.map(|_| shared.born.elapsed().as_micros() as u64);
+        link.say(Frame::Hello(HelloHead { started_ago_us: ago, ..shared.hello }));
+    }
+    let mut using = Using { shared: shared.clone(), user: None };
+    let mut requests = JoinSet::new();
+    let mut stopping = false;
+    loop {
+        let inbound = tokio::select! {
+            inbound = incoming.next() => inbound,
+            _ = requests.join_next(), if !requests.is_empty() => {
+                if stopping && requests.is_empty() {
+                    break;
+                }
+                continue;
+            }
+            () = stopped(&mut stop), if !stopping => {
+                link.go_away("the host stops");
+                stopping = true;
+                if requests.is_empty() {
+                    // What crossed the word is still answered.
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+                if requests.is_empty() && incoming.is_empty() {
+                    break;
+                }
+                continue;
+            }
+        };
+        match inbound {
+            None => break,
+            Some(Inbound::Request(head, responder)) if !operators => {
+                if let (Some(user), Some((ledger, _))) = (using.user, &mut shared.lock().ledger) {
+                    let class = shared.settings.classes.iter().find(|c| c.name == head.class);
+                    ledger.took(Some(user), class.map_or(0.0, |c| c.mean_us as f64 / 1e6));
+                }
+                requests.spawn(answer::run(shared.clone(), head, responder));
+            }
+            Some(Inbound::Request(_, responder)) => {
+                let detail = "this door takes purges, not requests".to_owned();
+                let status = WireStatus::Refused as i32;
+                let _ = responder.error(ErrorHead { status, detail, ..Default::default() }).await;
+            }
+            Some(Inbound::Control(Frame::Probe(probe))) if !probe.echo => {
+                link.say(Frame::Probe(ProbeHead { echo: true, load: Some(shared.load()), ..probe }));
+            }
+            Some(Inbound::Control(Frame::Purge(head))) if operators => {
+                tracing::info!(object = ?head.object, group = head.group, "purge");
+                let done = shared.purge(&head).await;
+                let trouble = done.err().unwrap_or_default();
+                let _ = link.control(Frame::Ack(AckHead { seq: head.seq, trouble })).await;
+            }
+            Some(Inbound::Control(Frame::Hello(hello))) if hello.dispatcher && using.user.is_none() => {
+                let granted = {
+                    let mut locked = shared.lock();
+                    locked.next_user += 1;
+                    let user = locked.next_user;
+                    locked.ledger.as_mut().map(|(ledger, links)| {
+                        links.insert(user, link.clone());
+                        using.user = Some(user);
+                        lease(&ledger.join(user, hello.asks))
+                    })
+                };
+                if let Some(granted) = granted {
+                    link.say(Frame::Lease(granted));
+                }
+            }
+            Some(Inbound::Control(Frame::Want(want))) => {
+                let now = shared.now();
+                let given = match (&mut shared.lock().ledger, using.user) {
+                    (Some((ledger, _)), Some(user)) => {
+                        lease(&ledger.ask(now, user, want.work_us as f64 / 1e6))
+                    }
+                    _ => LeaseHead { work_us: want.work_us, for_us: 1_000_000, ..Default::default() },
+                };
+                link.say(Frame::Lease(LeaseHead { answers: true, ..given }));
+            }
+            Some(Inbound::Control(_)) => {}
+        }
+    }
+    while requests.join_next().await.is_some() {}
+    link.close("the connection is done with");
+    link.written().await;
+}
+
+/// Reads what was left on disk, then syncs and cleans in small parts.
+async fn keep_store(shared: Arc<Shared>) {
+    let (Some(store), Some(place)) = (shared.store.clone(), shared.settings.store.clone()) else { return };
+    loop {
+        let reading = store.clone();
+        match tokio::task::spawn_blocking(move || reading.recover(wall_ms())).await {
+            Ok(Ok(true)) => {}
+            Ok(Ok(false)) => break,
+            Ok(Err(e)) => {
+                tracing::error!(error = %e, "what was left on disk cannot be read on; it is not served");
+                break;
+            }
+            Err(_) => return,
+        }
+    }
+    for why in store.doubts() {
+        tracing::warn!(why, "store");
+    }
+    loop {
+        tokio::time::sleep(Duration::from_micros(place.sync_us)).await;
+        let keeping = store.clone();
+        let kept = tokio::task::spawn_blocking(move || keeping.sync()).await;
+        if let Ok(Err(e)) = kept {
+            tracing::error!(error = %e, "the store cannot sync");
+        }
+    }
+}
+
+/// Tells leases slot by slot while this start warms up.
+async fn lease_out(shared: Arc<Shared>) {
+    loop {
+        let next = match &shared.lock().ledger {
+            Some((ledger, _)) => ledger.next_slot(),
+            None => return,
+        };
+        tokio::time::sleep(Duration::from_micros(next.saturating_sub(shared.now()))).await;
+        let grants: Vec<(Link, LeaseHead)> = {
+            let mut locked = shared.lock();
+            let now = shared.now();
+            let Some((ledger, links)) = &mut locked.ledger else { return };
+            if ledger.is_over(now) {
+                locked.ledger = None;
+                return;
+            }
+            let told = |g: Grant| Some((links.get(&g.user)?.clone(), lease(&g)));
+            ledger.turn(now).into_iter().filter_map(told).collect()
+        };
+        for (link, lease) in grants {
+            link.say(Frame::Lease(lease));
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/net/sources.rs
@@ -0,0 +1,256 @@
+//! Where fills come from: other hosts by the framed protocol, an origin by HTTP/1.1.
+use crate::fresh;
+use bytes::Bytes;
+use pointspindle::Micros;
+use pointspindle_config::{CacheSettings, OriginPlace};
+use pointspindle_link::{Call, CallEnd, Idle, Link, LinkOptions, Net, Part, Reader, WriteHalf};
+use pointspindle_wire::http::{HttpPiece, ResponseCodec};
+use pointspindle_wire::streams::Side;
+use pointspindle_wire::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+
+/// Links to sources that are kept; one that ended is replaced.
+const LINKS: usize = 1_024;
+
+/// An answer under way.
+pub enum Answer {
+    Framed(Call),
+    Http(Box<HttpAnswering>),
+}
+
+pub struct HttpAnswering {
+    connection: Option<Connection>,
+    keep: bool,
+    home: Arc<HttpOrigin>,
+    /// The place among the origin's connections.
+    _place: tokio::sync::OwnedSemaphorePermit,
+}
+
+struct Connection {
+    read: Reader<ResponseCodec>,
+    write: WriteHalf,
+}
+
+/// The origin's pool.
+pub struct HttpOrigin {
+    place: OriginPlace,
+    idle: Mutex<Vec<Connection>>,
+    places: Arc<Semaphore>,
+}
+
+/// What a source's head says.
+pub struct Began {
+    pub head: AnswerHead,
+    /// Not to be kept.
+    pub no_store: bool,
+    pub answer: Answer,
+}
+
+/// Why nothing came.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Failed {
+    /// Nothing was sent.
+    Unreachable(String),
+    /// It said so.
+    Told(Box<ErrorHead>),
+    /// It broke off, or did not answer in time: it may have run.
+    Broke(String),
+}
+
+pub struct Sources {
+    net: Net,
+    connect: Duration,
+    links: tokio::sync::Mutex<HashMap<String, Link>>,
+    origin: Option<Arc<HttpOrigin>>,
+}
+
+/// The name by which a host's own HTTP origin is asked for.
+pub const OWN: &str = "origin";
+
+impl Sources {
+    pub fn new(settings: &CacheSettings, net: Net) -> Self {
+        let origin = settings.origin.clone().map(|place| {
+            let places = Arc::new(Semaphore::new(place.connections));
+            Arc::new(HttpOrigin { place, idle: Mutex::new(Vec::new()), places })
+        });
+        let connect = Duration::from_micros(settings.connect_us);
+        Self { net, connect, links: Default::default(), origin }
+    }
+
+    /// Asks a source and waits for its head. `request` as it goes out; `uncacheable`: it runs there.
+    pub async fn ask(
+        &self,
+        source: &str,
+        request: RequestHead,
+        uncacheable: bool,
+    ) -> Result<Began, Failed> {
+        match &self.origin {
+            Some(origin) if source == OWN || source == origin.place.address.to_string() => {
+                self.http(origin.clone(), request, uncacheable).await
+            }
+            _ => self.framed(source, request).await,
+        }
+    }
+
+    async fn link(&self, address: &str) -> Result<Link, Failed> {
+        let mut links = self.links.lock().await;
+        if let Some(link) = links.get(address).filter(|link| link.takes_calls()) {
+            return Ok(link.clone());
+        }
+        let unreachable = |why: String| Failed::Unreachable(format!("{address}: {why}"));
+        let at: SocketAddr = address.parse().map_err(|_| unreachable("not an address and port".into()))?;
+        let line = tokio::time::timeout(self.connect, self.net.connect(None, at)).await;
+        let line = line.map_err(|_| unreachable("no connection in time".into()))?;
+        let line = line.map_err(|e| unreachable(e.to_string()))?;
+        let (link, mut incoming) = Link::start(line, Side::Caller, LinkOptions::default());
+        tokio::spawn(async move { while incoming.next().await.is_some() {} });
+        links.retain(|_, link| !link.is_closed());
+        if links.len() < LINKS {
+            links.insert(address.to_owned(), link.clone());
+        }
+        Ok(link)
+    }
+
+    async fn framed(&self, source: &str, request: RequestHead) -> Result<Began, Failed> {
+        let link = self.link(source).await?;
+        let mut call = link.call(request).map_err(|e| Failed::Unreachable(e.to_string()))?;
+        match call.next().await {
+            Some(Part::Head(head)) => Ok(Began { head, no_store: false, answer: Answer::Framed(call) }),
+            Some(Part::End(CallEnd::Error(e))) => Err(Failed::Told(Box::new(e))),
+            Some(Part::End(CallEnd::Broken(why))) => Err(Failed::Broke(why)),
+            _ => Err(Failed::Broke("no head".into())),
+        }
+    }
+
+    async fn http(
+        &self,
+        origin: Arc<HttpOrigin>,
+        request: RequestHead,
+        runs: bool,
+    ) -> Result<Began, Failed> {
+        // Waits for a place; the fill's own time-out ends that.
+        let place = origin.places.clone().acquire_owned().await;
+        let place = place.map_err(|_| Failed::Unreachable("the host stops".into()))?;
+        let asked = Instant::now();
+        let text = text(&origin.place, &request, runs);
+        // A connection that was kept may have been closed at the other end meanwhile: what only reads is asked once more.
+        for attempt in 0..2 {
+            let kept = origin.idle.lock().unwrap_or_else(|p| p.into_inner()).pop();
+            let kept = kept.filter(|c| attempt == 0 && !runs && c.read.idle() == Idle::Quiet);
+            let reused = kept.is_some();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => self.connect_http(&origin).await?,
+            };
+            connection.read.codec().head_only = request.head_only;
+            if connection.write.write_all(text.as_bytes()).await.is_err() && reused {
+                continue;
+            }
+            return match connection.read.next().await {
+                Some(Ok(HttpPiece::Head { status, fields, keep_alive })) => {
+                    let took = asked.elapsed().as_micros() as Micros;
+                    let (head, no_store) = head(status, &fields, took);
+                    let home = origin.clone();
+                    let connection = Some(connection);
+                    let answer = HttpAnswering { connection, keep: keep_alive, home, _place: place };
+                    Ok(Began { head, no_store, answer: Answer::Http(Box::new(answer)) })
+                }
+                None if reused => continue,
+                Some(Err(e)) if !(reused && e.status() == 0) => Err(Failed::Broke(e.to_string())),
+                Some(Err(_)) => continue,
+                _ => Err(Failed::Broke("the origin closed the connection".into())),
+            };
+        }
+        Err(Failed::Broke("the origin closed the connection".into()))
+    }
+
+    async fn connect_http(&self, origin: &HttpOrigin) -> Result<Connection, Failed> {
+        let at = origin.place.address;
+        let line = tokio::time::timeout(self.connect, self.net.connect(None, at)).await;
+        let line = line.map_err(|_| Failed::Unreachable(format!("{at}: no connection in time")))?;
+        let (read, write) = line.map_err(|e| Failed::Unreachable(format!("{at}: {e}")))?.split();
+        Ok(Connection { read: Reader::new(read, ResponseCodec::new(false)), write })
+    }
+}
+
+/// GET or HEAD; what must run is a POST, under its key where it has one.
+fn text(place: &OriginPlace, request: &RequestHead, runs: bool) -> String {
+    let method = if runs {
+        "POST"
+    } else if request.head_only {
+        "HEAD"
+    } else {
+        "GET"
+    };
+    let query = match (request.part, request.object.contains('?')) {
+        (0, _) => String::new(),
+        (part, true) => format!("&part={part}"),
+        (part, false) => format!("?part={part}"),
+    };
+    let mut out = format!("{method} {}{query} HTTP/1.1\r\nhost: {}\r\n", request.object, place.host);
+    let key = if runs { request.key.as_str() } else { "" };
+    let fields = [
+        ("x-request-id", request.trace.as_str()),
+        ("idempotency-key", key),
+        ("if-none-match", request.if_none_match.as_str()),
+        ("content-length", if runs { "0" } else { "" }),
+    ];
+    for (name, value) in fields.into_iter().filter(|(_, v)| !v.is_empty() && !v.contains(char::is_control))
+    {
+        out += &format!("{name}: {value}\r\n");
+    }
+    out + "\r\n"
+}
+
+fn head(status: u16, fields: &[(String, String)], took: Micros) -> (AnswerHead, bool) {
+    let find = |name: &str| fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.clone());
+    let now_s = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
+    let fresh = fresh::freshness(fields, took, now_s);
+    let kept = matches!(status, 200 | 304);
+    let head = AnswerHead {
+        note: WireNote::FilledByOrigin as i32,
+        size: find("content-length").and_then(|v| v.parse().ok()),
+        age_us: fresh.age,
+        validator: find("etag").unwrap_or_default(),
+        content_type: find("content-type").unwrap_or_default(),
+        not_modified: status == 304,
+        fresh_left_us: fresh.lifetime.map(|l| l.saturating_sub(fresh.age)),
+        code: if kept { 0 } else { u32::from(status) },
+        ..AnswerHead::default()
+    };
+    (head, fresh.no_store || !kept)
+}
+
+impl Answer {
+    /// The next piece of the body; none: it is complete.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Failed> {
+        match self {
+            Self::Framed(call) => match call.next().await {
+                Some(Part::Data(data)) => Ok(Some(data)),
+                Some(Part::End(CallEnd::Complete(_))) => Ok(None),
+                Some(Part::End(CallEnd::Error(e))) => Err(Failed::Told(Box::new(e))),
+                Some(Part::End(CallEnd::Broken(why))) => Err(Failed::Broke(why)),
+                _ => Err(Failed::Broke("a second head".into())),
+            },
+            Self::Http(answering) => {
+                let Some(connection) = &mut answering.connection else { return Ok(None) };
+                match connection.read.next().await {
+                    Some(Ok(HttpPiece::Data(data))) => Ok(Some(data)),
+                    Some(Ok(HttpPiece::End)) => {
+                        let connection = answering.connection.take().filter(|_| answering.keep);
+                        let mut idle = answering.home.idle.lock().unwrap_or_else(|p| p.into_inner());
+                        idle.extend(connection);
+                        Ok(None)
+                    }
+                    Some(Err(e)) => Err(Failed::Broke(e.to_string())),
+                    _ => Err(Failed::Broke("the origin closed the connection".into())),
+                }
+            }
+        }
+    }
+}
--- a/crates/link/src/tasks.rs
+++ b/crates/link/src/tasks.rs
@@ -144,6 +144,11 @@
 }
 
 impl Incoming {
+    /// Nothing waits to be taken.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
     pub async fn next(&mut self) -> Option<Inbound> {
         self.queue.recv().await.map(|inbound| *inbound)
     }
--- /dev/null
+++ b/crates/store/src/segments.rs
@@ -0,0 +1,176 @@
+//! Names of files, heads of segments, and summaries.
+//!
+//! A segment's file begins with 24 bytes: `PSPNSEG1`, its number (8), CRC-32 of both (4), 0 (4); records follow. When it is full, its
+//! summary is written beside it: 24 bytes as above with `PSPNSUM1` and the length of the segment in place of the 0s' half (see
+//! [`summary`]), then all its records but blocks, each behind its offset in the segment (4), then 4 bytes of CRC-32 over everything before.
+//! A segment without a summary is read through.
+use crate::record::{self, Kind, Word, HEAD};
+
+pub const SEGMENT_HEAD: usize = 24;
+const SEGMENT: [u8; 8] = *b"PSPNSEG1";
+const SUMMARY: [u8; 8] = *b"PSPNSUM1";
+
+pub fn segment_name(number: u32) -> String {
+    format!("segment-{number:010}.log")
+}
+
+pub fn summary_name(number: u32) -> String {
+    format!("segment-{number:010}.sum")
+}
+
+/// The number in a segment's name.
+pub fn number_of(name: &str) -> Option<u32> {
+    name.strip_prefix("segment-")?.strip_suffix(".log")?.parse().ok()
+}
+
+fn head(magic: [u8; 8], number: u32, extra: u32) -> [u8; SEGMENT_HEAD] {
+    let mut out = [0; SEGMENT_HEAD];
+    out[..8].copy_from_slice(&magic);
+    out[8..16].copy_from_slice(&u64::from(number).to_le_bytes());
+    out[16..20].copy_from_slice(&extra.to_le_bytes());
+    let crc = crc32fast::hash(&out[..20]);
+    out[20..].copy_from_slice(&crc.to_le_bytes());
+    out
+}
+
+pub fn segment_head(number: u32) -> [u8; SEGMENT_HEAD] {
+    head(SEGMENT, number, 0)
+}
+
+/// A summary of a segment that is `len` bytes long.
+pub fn summary(number: u32, len: u32, records: &[u8]) -> Vec<u8> {
+    let mut out = head(SUMMARY, number, len).to_vec();
+    out.extend_from_slice(records);
+    let crc = crc32fast::hash(&out);
+    out.extend_from_slice(&crc.to_le_bytes());
+    out
+}
+
+/// A record that was found: its number, where it stands and how long it is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spoken {
+    pub seq: u64,
+    /// Offset within the segment.
+    pub offset: u32,
+    pub len: u32,
+    pub word: Word,
+}
+
+/// Reads a summary: the segment's length and its records, in their order.
+pub fn read_summary(number: u32, bytes: &[u8]) -> Option<(u32, Vec<Spoken>)> {
+    let (body, crc) = bytes.split_at_checked(bytes.len().checked_sub(4)?)?;
+    if crc32fast::hash(body).to_le_bytes() != *crc || body.len() < SEGMENT_HEAD {
+        return None;
+    }
+    let len = u32::from_le_bytes([body[16], body[17], body[18], body[19]]);
+    if body[..SEGMENT_HEAD] != head(SUMMARY, number, len) {
+        return None;
+    }
+    let mut spoken = Vec::new();
+    let mut rest = &body[SEGMENT_HEAD..];
+    while !rest.is_empty() {
+        let (offset, record) = rest.split_at_checked(4)?;
+        let offset = u32::from_le_bytes(offset.try_into().ok()?);
+        let head = record::decode_head(number, record)?;
+        let payload = record.get(HEAD..HEAD + head.len as usize)?;
+        if crc32fast::hash(payload) != head.crc {
+            return None;
+        }
+        let word = Word::read(head.kind, payload)?;
+        spoken.push(Spoken { seq: head.seq, offset, len: HEAD as u32 + head.len, word });
+        rest = &record[HEAD + head.len as usize..];
+    }
+    Some((len, spoken))
+}
+
+/// What reading a segment through found.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Scan {
+    pub spoken: Vec<Spoken>,
+    /// The records of [`Scan::spoken`] as a summary has them.
+    pub records: Vec<u8>,
+    /// Up to here everything is in order.
+    pub end: u32,
+    /// The highest number seen.
+    pub last_seq: u64,
+    /// Bytes follow that are no record.
+    pub broken: bool,
+    /// Purges and evictions that stand behind the break. They are also in [`Scan::records`], not in [`Scan::spoken`]: after a crash
+    /// nobody had been told of them, after a flipped bit somebody may have been; to heed them is right for both.
+    pub behind: Vec<Spoken>,
+}
+
+/// Reads a segment through, every block's checksum included; stops where a record is not in order.
+pub fn scan(number: u32, file: &dyn crate::disk::DiskFile) -> std::io::Result<Option<Scan>> {
+    let len = file.len()?;
+    let mut first = [0; SEGMENT_HEAD];
+    if len < SEGMENT_HEAD as u64 {
+        return Ok(None);
+    }
+    file.read_at(0, &mut first)?;
+    if first != segment_head(number) {
+        return Ok(None);
+    }
+    let mut found = Scan { end: SEGMENT_HEAD as u32, ..Scan::default() };
+    let (mut at, mut head, mut payload) = (SEGMENT_HEAD as u64, [0; HEAD], Vec::new());
+    while at + HEAD as u64 <= len {
+        file.read_at(at, &mut head)?;
+        let Some(h) = record::decode_head(number, &head) else { break };
+        let end = at + HEAD as u64 + u64::from(h.len);
+        if end > len {
+            break;
+        }
+        payload.resize(h.len as usize, 0);
+        file.read_at(at + HEAD as u64, &mut payload)?;
+        if crc32fast::hash(&payload) != h.crc {
+            break;
+        }
+        if h.kind != Kind::Block {
+            let Some(word) = Word::read(h.kind, &payload) else { break };
+            let (offset, len) = (at as u32, HEAD as u32 + h.len);
+            found.spoken.push(Spoken { seq: h.seq, offset, len, word });
+            found.records.extend_from_slice(&offset.to_le_bytes());
+            found.records.extend_from_slice(&head);
+            found.records.extend_from_slice(&payload);
+        }
+        found.last_seq = found.last_seq.max(h.seq);
+        (at, found.end) = (end, end as u32);
+    }
+    found.broken = at < len;
+    if found.broken {
+        behind(number, file, at, len, &mut found)?;
+    }
+    Ok(Some(found))
+}
+
+/// Looks through what follows a break, byte by byte, for purges and evictions that can still be read.
+fn behind(
+    number: u32,
+    file: &dyn crate::disk::DiskFile,
+    from: u64,
+    len: u64,
+    found: &mut Scan,
+) -> std::io::Result<()> {
+    let mut rest = vec![0; (len - from) as usize];
+    file.read_at(from, &mut rest)?;
+    let mut at = 0;
+    while at + HEAD <= rest.len() {
+        let Some(h) = record::decode_head(number, &rest[at..]) else {
+            at += 1;
+            continue;
+        };
+        let end = at + HEAD + h.len as usize;
+        let payload = rest.get(at + HEAD..end).filter(|p| crc32fast::hash(p) == h.crc);
+        let word = payload.and_then(|p| Word::read(h.kind, p));
+        if let Some(word @ (Word::Purge(_) | Word::Gone(_))) = word {
+            let offset = (from as usize + at) as u32;
+            found.records.extend_from_slice(&offset.to_le_bytes());
+            found.records.extend_from_slice(&rest[at..end]);
+            found.behind.push(Spoken { seq: h.seq, offset, len: (end - at) as u32, word });
+        }
+        found.last_seq = found.last_seq.max(h.seq);
+        // A head that is right says how long its record is, whatever became of the payload.
+        at = end.min(rest.len()).max(at + 1);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/src/sim.rs
@@ -0,0 +1,307 @@
+//! A disk in memory that loses power on demand: what was not synced is lost in part and in any order, as a real one may.
+//!
+//! Writes are kept in pieces of [`PAGE`] bytes until they are synced; a crash keeps each of them or not. Names are kept in the order in
+//! which they were made, up to some point. Faults: power lost at the nth operation from now (in the middle of a write, too), no room, a sync
+//! that fails, and flipped bits.
+use crate::disk::{Disk, DiskFile};
+use std::collections::BTreeMap;
+use std::io::{Error, ErrorKind, Result};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// What is written, or not, as a whole.
+pub const PAGE: usize = 512;
+
+#[derive(Clone, Debug, Default)]
+struct Content {
+    /// As the process sees it.
+    now: Vec<u8>,
+    /// As it was at the last sync.
+    durable: Vec<u8>,
+    /// Written since: offset and bytes, in pages.
+    dirty: Vec<(usize, Vec<u8>)>,
+    /// Truncated since: nothing of the tail is certain.
+    cut: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Naming {
+    Create(String, usize),
+    Remove(String),
+    Rename(String, String),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    files: Vec<Content>,
+    names: BTreeMap<String, usize>,
+    durable_names: BTreeMap<String, usize>,
+    namings: Vec<Naming>,
+    /// Operations until power is lost; none: it is not.
+    fuse: Option<u64>,
+    /// Bytes that all files may hold together.
+    room: Option<usize>,
+    /// Syncs that fail.
+    bad_syncs: u32,
+    dead: bool,
+}
+
+/// Clones are the same disk.
+#[derive(Clone, Debug, Default)]
+pub struct SimDisk(Arc<Mutex<State>>);
+
+struct SimFile(SimDisk, usize);
+
+fn power() -> Error {
+    Error::other("power is lost")
+}
+
+fn apply(names: &mut BTreeMap<String, usize>, naming: &Naming) {
+    match naming {
+        Naming::Create(name, file) => drop(names.insert(name.clone(), *file)),
+        Naming::Remove(name) => drop(names.remove(name)),
+        Naming::Rename(from, to) => {
+            if let Some(file) = names.remove(from) {
+                names.insert(to.clone(), file);
+            }
+        }
+    }
+}
+
+impl SimDisk {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Power is lost at the nth operation that changes something, from now.
+    pub fn lose_power_in(&self, operations: u64) {
+        self.lock().fuse = Some(operations);
+    }
+
+    pub fn is_dead(&self) -> bool {
+        self.lock().dead
+    }
+
+    pub fn room(&self, bytes: Option<usize>) {
+        self.lock().room = bytes;
+    }
+
+    pub fn fail_syncs(&self, count: u32) {
+        self.lock().bad_syncs = count;
+    }
+
+    /// Flips a bit of a file, as it is and as it was synced.
+    pub fn flip(&self, name: &str, offset: usize) -> bool {
+        let mut state = self.lock();
+        let Some(file) = state.names.get(name).copied() else { return false };
+        let content = &mut state.files[file];
+        let mut done = false;
+        for bytes in [&mut content.now, &mut content.durable] {
+            if let Some(byte) = bytes.get_mut(offset) {
+                *byte ^= 0x10;
+                done = true;
+            }
+        }
+        done
+    }
+
+    pub fn len_of(&self, name: &str) -> usize {
+        let state = self.lock();
+        state.names.get(name).map_or(0, |f| state.files[*f].now.len())
+    }
+
+    /// What is there after the crash; `keep` says of each thing that was not synced whether it is.
+    pub fn after_crash(&self, mut keep: impl FnMut() -> bool) -> Self {
+        let state = self.lock();
+        let mut names = state.durable_names.clone();
+        for naming in &state.namings {
+            // In order, as a journal has them.
+            if !keep() {
+                break;
+            }
+            apply(&mut names, naming);
+        }
+        let mut after = State::default();
+        for (name, file) in names {
+            let content = &state.files[file];
+            let mut bytes = content.durable.clone();
+            for (offset, page) in &content.dirty {
+                if keep() {
+                    let end = offset + page.len();
+                    if bytes.len() < end {
+                        bytes.resize(end, 0);
+                    }
+                    bytes[*offset..end].copy_from_slice(page);
+                }
+            }
+            if content.cut && keep() {
+                bytes.truncate(content.now.len());
+            }
+            after.names.insert(name.clone(), after.files.len());
+            after.durable_names.insert(name, after.files.len());
+            after.files.push(Content { now: bytes.clone(), durable: bytes, ..Content::default() });
+        }
+        Self(Arc::new(Mutex::new(after)))
+    }
+}
+
+impl State {
+    /// Before each operation: false when power is lost now.
+    fn live(&mut self) -> Result<()> {
+        if self.dead {
+            return Err(power());
+        }
+        if let Some(fuse) = &mut self.fuse {
+            if *fuse == 0 {
+                self.dead = true;
+                return Err(power());
+            }
+            *fuse -= 1;
+        }
+        Ok(())
+    }
+
+    fn named(&mut self, naming: Naming) {
+        apply(&mut self.names, &naming);
+        self.namings.push(naming);
+    }
+}
+
+impl Disk for SimDisk {
+    fn list(&self) -> Result<Vec<String>> {
+        let state = self.lock();
+        if state.dead {
+            return Err(power());
+        }
+        Ok(state.names.keys().cloned().collect())
+    }
+
+    fn create(&self, name: &str) -> Result<Arc<dyn DiskFile>> {
+        let mut state = self.lock();
+        state.live()?;
+        if state.names.contains_key(name) {
+            return Err(ErrorKind::AlreadyExists.into());
+        }
+        let file = state.files.len();
+        state.files.push(Content::default());
+        state.named(Naming::Create(name.to_owned(), file));
+        Ok(Arc::new(SimFile(self.clone(), file)))
+    }
+
+    fn open(&self, name: &str) -> Result<Arc<dyn DiskFile>> {
+        let state = self.lock();
+        if state.dead {
+            return Err(power());
+        }
+        let file = state.names.get(name).copied().ok_or(ErrorKind::NotFound)?;
+        Ok(Arc::new(SimFile(self.clone(), file)))
+    }
+
+    fn remove(&self, name: &str) -> Result<()> {
+        let mut state = self.lock();
+        state.live()?;
+        if !state.names.contains_key(name) {
+            return Err(ErrorKind::NotFound.into());
+        }
+        state.named(Naming::Remove(name.to_owned()));
+        Ok(())
+    }
+
+    fn rename(&self, from: &str, to: &str) -> Result<()> {
+        let mut state = self.lock();
+        state.live()?;
+        if !state.names.contains_key(from) {
+            return Err(ErrorKind::NotFound.into());
+        }
+        state.named(Naming::Rename(from.to_owned(), to.to_owned()));
+        Ok(())
+    }
+
+    fn sync_names(&self) -> Result<()> {
+        let mut state = self.lock();
+        state.live()?;
+        state.durable_names = state.names.clone();
+        state.namings.clear();
+        Ok(())
+    }
+}
+
+impl DiskFile for SimFile {
+    fn write_at(&self, offset: u64, bytes: &[u8]) -> Result<()> {
+        let mut state = self.0.lock();
+        let alive = state.live();
+        // Power lost in the middle of a write: some pages of it may have gone out.
+        let offset = offset as usize;
+        if alive.is_ok() {
+            let used: usize = state.names.values().map(|f| state.files[*f].now.len()).sum();
+            let more = (offset + bytes.len()).saturating_sub(state.files[self.1].now.len());
+            if state.room.is_some_and(|room| used + more > room) {
+                return Err(ErrorKind::StorageFull.into());
+            }
+        }
+        let content = &mut state.files[self.1];
+        if content.now.len() < offset + bytes.len() {
+            content.now.resize(offset + bytes.len(), 0);
+        }
+        content.now[offset..offset + bytes.len()].copy_from_slice(bytes);
+        let mut at = 0;
+        while at < bytes.len() {
+            // Pages stand where a disk has them, not where a write begins.
+            let end = ((offset + at) / PAGE + 1) * PAGE - offset;
+            let end = end.min(bytes.len());
+            content.dirty.push((offset + at, bytes[at..end].to_vec()));
+            at = end;
+        }
+        alive
+    }
+
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> Result<()> {
+        let state = self.0.lock();
+        if state.dead {
+            return Err(power());
+        }
+        let offset = offset as usize;
+        let from =
+            state.files[self.1].now.get(offset..offset + buffer.len()).ok_or(ErrorKind::UnexpectedEof)?;
+        buffer.copy_from_slice(from);
+        Ok(())
+    }
+
+    fn len(&self) -> Result<u64> {
+        Ok(self.0.lock().files[self.1].now.len() as u64)
+    }
+
+    fn sync(&self) -> Result<()> {
+        let mut state = self.0.lock();
+        state.live()?;
+        if state.bad_syncs > 0 {
+            state.bad_syncs -= 1;
+            // As kernels do: what could not be written is forgotten, and the next sync says nothing of it.
+            let content = &mut state.files[self.1];
+            let lost: Vec<(usize, Vec<u8>)> = content.dirty.drain(..).collect();
+            for (n, (offset, page)) in lost.into_iter().enumerate() {
+                if n % 2 == 0 {
+                    let end = offset + page.len();
+                    if content.durable.len() < end {
+                        content.durable.resize(end, 0);
+                    }
+                    content.durable[offset..end].copy_from_slice(&page);
+                }
+            }
+            return Err(Error::other("the disk cannot write"));
+        }
+        let content = &mut state.files[self.1];
+        content.durable = content.now.clone();
+        content.dirty.clear();
+        content.cut = false;
+        Ok(())
+    }
+
+    fn truncate(&self, len: u64) -> Result<()> {
+        let mut state = self.0.lock();
+        state.live()?;
+        let content = &mut state.files[self.1];
+        content.now.truncate(len as usize);
+        content.cut = true;
+        Ok(())
+    }
+}
