--- a/src/logic.rs
+++ b/src/logic.rs
@@ -181,7 +181,7 @@
     /// Routers that send to this location's caches, and in all.
     sharing: f64,
     routers: u64,
-    /// The share of its part of cold budgets that it takes: none while routers may count each other differently.
+    /// The share of its part of cold budgets that it takes: none while routers may count themselves unlike.
     cold_part: f64,
     sizes_told: bool,
     /// Worth asked for a second of sending time, lately: both as running means.
@@ -283,7 +283,7 @@
         }
     }
 
-    /// How many routers there are, here and in all, and which one this is; `cold`: it takes from cold budgets.
+    /// How many routers there are, here and in all, and which one this is; `cold`: it takes of cold budgets.
     pub fn count(&mut self, here: u32, all: u32, me: Option<u32>, cold: bool) {
         (self.sharing, self.routers) = (here.max(1) as f64, all.max(1).into());
         (self.set.me, self.cold_part) = (me, cold as u8 as f64);
