--- a/crates/edge/src/net/exchange.rs
+++ b/crates/edge/src/net/exchange.rs
@@ -236,6 +236,7 @@
             return Got::Failed;
         };
         if left < RESUME_LEAST {
+            tracing::info!("no time is left for what is left");
             return Got::Failed;
         }
         progress.resumed += 1;
@@ -260,12 +261,21 @@
                 Got::Answer(attempt, call, head)
             }
             // Another version, or one that tells no ranges: the bytes would not belong together.
-            Got::Answer(_, call, _) => {
+            Got::Answer(_, call, head) => {
                 drop(call);
+                tracing::info!(
+                    wanted = progress.validator,
+                    got = head.validator,
+                    first = head.range_first,
+                    "what is left is not had"
+                );
                 self.hub.tell(Input::Gone(self.closing.id));
                 Got::Failed
             }
-            other => other,
+            other => {
+                tracing::info!(next = progress.next, end = progress.end, "what is left is had nowhere");
+                other
+            }
         }
     }
 
