A cache host fills from named sources only

Need: asked for what it holds, an edge host with an origin in its settings filled from there and passed it through, so that nothing was ever kept (found by a load). Change: only parents and gateways have an upstream of their own. Measured: the test fails without it.

--- a/crates/host/src/net/answer.rs
+++ b/crates/host/src/net/answer.rs
@@ -5,6 +5,7 @@
 use crate::desk::{Asked, FillId, Held, Verdict};
 use bytes::Bytes;
 use pointspindle::Micros;
+use pointspindle_config::Role;
 use pointspindle_link::Responder;
 use pointspindle_store::{Fill, Found, Key, Meta};
 use pointspindle_wire::http::names_validator;
@@ -100,7 +101,9 @@
             let found = self.find(&key, class.uncacheable).await;
             let fresh = (class.fresh_us > 0).then_some(class.fresh_us);
             let fresh = found.as_ref().map_or(fresh, |f| fresh_of(&f.meta).or(fresh));
-            let own = shared.settings.origin.is_some().then_some(OWN);
+            // A cache host fills from named sources only: asked without one, it is to give what it holds.
+            let tier = shared.settings.role != Role::Cache;
+            let own = (tier && shared.settings.origin.is_some()).then_some(OWN);
             let mut asked = Asked::of(&self.head, key, fresh, own, class.uncacheable);
             if shared.store.is_none() {
                 asked.keep = 0;
--- a/crates/host/tests/service.rs
+++ b/crates/host/tests/service.rs
@@ -348,4 +348,11 @@
         assert_eq!(get(&gate, run).await.unwrap().1, body("/enrol/1", 1));
     }
     assert_eq!(fleet.asked("POST /enrol/1"), 2);
+    // A cache host beside the origin: filled where the origin is named, and not where it is only asked for what it holds.
+    let near = host("cache", Some(&fleet.folder.path().join("near")), Some(fleet.origin), "").await;
+    let near = link(near.bound().framed).await;
+    let look = ask("/video/near", "");
+    assert_eq!(get(&near, look).await.unwrap_err().status(), WireStatus::Miss);
+    let named = ask("/video/near", &fleet.origin.to_string());
+    assert_eq!(get(&near, named).await.unwrap().1, body("/video/near", 1));
 }
