The store in files of one concern each

Need: one file of 980 lines held API, writing, space, fills and reads. Change: moved into store/{mod,write,space,found,fill}.rs, nothing else; a bound that the desk does not need is gone.

--- a/crates/host/src/desk.rs
+++ b/crates/host/src/desk.rs
@@ -8,7 +8,6 @@
 use pointspindle::Micros;
 use pointspindle_wire::{FetchHead, RequestHead};
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::Hash;
 
 pub type FillId = u64;
 pub type Waiter = u64;
@@ -114,7 +113,7 @@
     next: u64,
 }
 
-impl<K: Clone + Ord + Hash> Desk<K> {
+impl<K: Clone + Ord> Desk<K> {
     pub fn new(rule: Rule) -> Self {
         Self { rule, fills: BTreeMap::new(), by_key: BTreeMap::new(), waiting: VecDeque::new(), next: 0 }
     }
--- /dev/null
+++ b/crates/store/src/store/fill.rs
@@ -0,0 +1,126 @@
+//! A copy on its way in.
+use super::*;
+
+/// A copy on its way in. Dropped, it never was.
+pub struct Fill {
+    pub(super) store: Store,
+    pub(super) meta: Meta,
+    pub(super) begun: u64,
+    pub(super) buffer: BytesMut,
+    pub(super) places: Vec<Place>,
+    pub(super) size: u64,
+    pub(super) over: bool,
+}
+
+impl std::fmt::Debug for Fill {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Fill of {} after {} bytes", self.meta.object, self.size)
+    }
+}
+
+impl Fill {
+    /// What is known of the copy by now; before its first byte.
+    pub fn describe(&mut self, meta: Meta) {
+        self.meta = meta;
+    }
+
+    /// More of the body. After an error nothing is kept of it.
+    pub fn write(&mut self, mut bytes: &[u8]) -> Result<(), StoreError> {
+        let block = self.store.0.options.block as usize;
+        while !bytes.is_empty() {
+            let some = bytes.len().min(block - self.buffer.len());
+            self.buffer.extend_from_slice(&bytes[..some]);
+            self.size += some as u64;
+            bytes = &bytes[some..];
+            if self.buffer.len() == block {
+                self.flush()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn flush(&mut self) -> Result<(), StoreError> {
+        if self.buffer.is_empty() || self.over {
+            return Ok(());
+        }
+        let store = self.store.clone();
+        let mut inner = store.inner();
+        let written = store
+            .room(&mut inner, (HEAD + self.buffer.len()) as u64, self.meta.rank)
+            .and_then(|()| store.write(&mut inner, Kind::Block, &self.buffer));
+        match written {
+            Ok(place) => {
+                if let Some(segment) = inner.segments.get_mut(&place.segment) {
+                    segment.pins += 1;
+                }
+                inner.stats.taken_bytes += self.buffer.len() as u64;
+                self.places.push(place);
+                self.buffer.clear();
+                Ok(())
+            }
+            Err(e) => {
+                self.end(&mut inner);
+                Err(e)
+            }
+        }
+    }
+
+    /// Nothing of it is pinned any more, and purges are not kept for it.
+    fn end(&mut self, inner: &mut Inner) {
+        if std::mem::replace(&mut self.over, true) {
+            return;
+        }
+        inner.fills.remove(&self.begun);
+        for place in &self.places {
+            if let Some(segment) = inner.segments.get_mut(&place.segment) {
+                segment.pins = segment.pins.saturating_sub(1);
+            }
+        }
+    }
+
+    /// The copy is whole: it is held from now on. It may be lost by a crash until the next sync.
+    pub fn commit(mut self, wall_ms: u64) -> Result<(), StoreError> {
+        self.flush()?;
+        let store = self.store.clone();
+        let mut inner = store.inner();
+        if self.over {
+            return Err(StoreError::NoRoom);
+        }
+        let told = self.meta.size;
+        if told != 0 && told != self.size {
+            return Err(StoreError::Short { told, got: self.size });
+        }
+        let key = self.meta.key();
+        let struck = inner.purges.iter().any(|(seq, p)| {
+            *seq >= self.begun
+                && match (p.of_object, p.of_group) {
+                    (true, _) => p.object() == key.object,
+                    (_, true) => p.group == self.meta.group,
+                    _ => true,
+                }
+        });
+        if struck {
+            return Err(StoreError::Purged);
+        }
+        // A failed sync may have taken some of it away.
+        let there = |p: &Place| {
+            inner.segments.get(&p.segment).is_some_and(|s| p.offset + p.len + HEAD as u32 <= s.len)
+        };
+        if !self.places.iter().all(there) {
+            return Err(StoreError::Disk(std::io::Error::other("a sync failed while it was filled")));
+        }
+        let stored_ms = inner.clock.now(wall_ms);
+        let meta = Meta { size: self.size, stored_ms, ..std::mem::take(&mut self.meta) };
+        let places = self.places.clone();
+        store.room(&mut inner, 1_024 + 32 * places.len() as u64, meta.rank)?;
+        store.commit(&mut inner, meta, places)
+    }
+}
+
+impl Drop for Fill {
+    fn drop(&mut self) {
+        let store = self.store.clone();
+        let mut inner = store.inner();
+        self.end(&mut inner);
+    }
+}
