A cache host's fills and waiters are known before anybody else asks

Need (second reading): the desk decided under the lock, its flow or waiter was entered under another one. A request that joined in between asked three times in vain and failed; a turn that came in between was lost, and a waiter that gave up in the instant of its turn kept a fill's place for ever. Change: Shared::ask does both under one lock; fill_over enters the flow with the turn; a turn that nobody takes goes on.

--- a/crates/host/src/net/answer.rs
+++ b/crates/host/src/net/answer.rs
@@ -13,7 +13,6 @@
 use pointspindle_wire::*;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// A request that was joined to a fill and missed its beginning asks again, so often.
@@ -109,7 +108,7 @@
                 asked.keep = 0;
             }
             let held = found.as_ref().map(|f| Held { age: shared.age(&f.meta) });
-            let verdict = shared.lock().desk.ask(asked.clone(), held);
+            let (verdict, turn) = shared.ask(&asked, self.head.group, held);
             match verdict {
                 Verdict::Serve { old, renew } => {
                     let Some(found) = found else { continue };
@@ -153,10 +152,9 @@
                     return self.fill(responder, fill, &asked, found, class.uncacheable).await
                 }
                 Verdict::Wait(waiter) => {
-                    let (sender, turn) = oneshot::channel();
-                    shared.lock().turns.insert(waiter, sender);
-                    let turn = tokio::select! {
-                        turn = turn => turn.ok().flatten(),
+                    let Some(mut turn) = turn else { continue };
+                    let fill = tokio::select! {
+                        fill = &mut turn => fill.ok(),
                         () = responder.gone() => None,
                         () = tokio::time::sleep(Duration::from_micros(self.left())) => None,
                     };
@@ -165,7 +163,11 @@
                         locked.desk.leave(waiter);
                         locked.turns.remove(&waiter).is_some()
                     };
-                    match turn {
+                    // Its turn may have come in the instant in which it gave up: the place goes on.
+                    if let Some(fill) = turn.try_recv().ok().filter(|_| fill.is_none()) {
+                        shared.fill_over(fill);
+                    }
+                    match fill {
                         Some(fill) => {
                             return self.fill(responder, fill, &asked, found, class.uncacheable).await
                         }
@@ -306,9 +308,8 @@
         uncacheable: bool,
         renewing: bool,
     ) -> Option<FlowReader> {
-        let flow = Arc::new(Flow::default());
+        let flow = self.shared.lock().flows.get(&fill).map(|(.., flow)| flow.clone())?;
         let reader = flow.reader();
-        self.shared.lock().flows.insert(fill, (asked.key, self.head.group, flow.clone()));
         let place = Place { shared: self.shared.clone(), fill, flow };
         let shape = &self.head;
         let fetch = FetchHead {
--- a/crates/host/src/net/mod.rs
+++ b/crates/host/src/net/mod.rs
@@ -3,7 +3,7 @@
 mod flow;
 mod sources;
 
-use crate::desk::{Desk, FillId, Rule, Turn, Waiter};
+use crate::desk::{Asked, Desk, FillId, Held, Rule, Turn, Verdict, Waiter};
 use crate::lease::{Grant, Ledger, UserId};
 use flow::Flow;
 use pointspindle::Micros;
@@ -61,7 +61,8 @@
 struct Locked {
     desk: Desk<Key>,
     flows: HashMap<FillId, (Key, u64, Arc<Flow>)>,
-    turns: HashMap<Waiter, oneshot::Sender<Option<FillId>>>,
+    /// Who waits, with what the fill will be of.
+    turns: HashMap<Waiter, (Key, u64, oneshot::Sender<FillId>)>,
     ledger: Option<(Ledger, HashMap<UserId, Link>)>,
     next_user: UserId,
     counts: Counts,
@@ -233,17 +234,45 @@
         LoadReport { util, hits: locked.hits, link: 0.0 }
     }
 
+    /// The desk's word. What it begins has its flow, and who waits can be told, before anybody else asks.
+    pub fn ask(
+        &self,
+        asked: &Asked<Key>,
+        group: u64,
+        held: Option<Held>,
+    ) -> (Verdict, Option<oneshot::Receiver<FillId>>) {
+        let mut locked = self.lock();
+        let verdict = locked.desk.ask(asked.clone(), held);
+        let mut turn = None;
+        match verdict {
+            Verdict::Fill(fill) | Verdict::Serve { renew: Some(fill), .. } => {
+                locked.flows.insert(fill, (asked.key, group, Arc::default()));
+            }
+            Verdict::Wait(waiter) => {
+                let (sender, receiver) = oneshot::channel();
+                locked.turns.insert(waiter, (asked.key, group, sender));
+                turn = Some(receiver);
+            }
+            _ => {}
+        }
+        (verdict, turn)
+    }
+
     /// A fill has ended: the next one in the line has its turn.
     pub fn fill_over(&self, fill: FillId) {
         let mut locked = self.lock();
         locked.flows.remove(&fill);
         let mut ended = fill;
         while let Some(Turn { waiter, fill }) = locked.desk.over(ended) {
-            match locked.turns.remove(&waiter).map(|turn| turn.send(Some(fill))) {
-                Some(Ok(())) => return,
-                // It has left meanwhile.
-                _ => ended = fill,
+            if let Some((key, group, turn)) = locked.turns.remove(&waiter) {
+                locked.flows.insert(fill, (key, group, Arc::default()));
+                if turn.send(fill).is_ok() {
+                    return;
+                }
+                locked.flows.remove(&fill);
             }
+            // It has left meanwhile.
+            ended = fill;
         }
     }
 
