--- /dev/null
+++ b/crates/cli/tests/platform/stage.rs
@@ -0,0 +1,307 @@
+//! A small platform around one dispatcher: cache hosts by lines, a notice board, a FastCGI client; written from the
+//! protocol's description.
+use bytes::{Buf, BytesMut};
+use futures_util::StreamExt;
+use pointspindle_platform_wire::fastcgi::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// What a cache host was told: a whole line, and the body of a PULL.
+pub type Heard = (String, Vec<u8>);
+
+/// A cache host: answers each PULL with what `script` makes of its id, fields and body.
+pub struct Host {
+    pub at: SocketAddr,
+    pub heard: mpsc::UnboundedReceiver<Heard>,
+}
+
+pub async fn host<F>(script: F) -> Host
+where
+    F: Fn(&str, &str) -> Vec<u8> + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (tell, heard) = mpsc::unbounded_channel();
+    let at = listener.local_addr().unwrap();
+    let script = Arc::new(script);
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            let (tell, script) = (tell.clone(), script.clone());
+            tokio::spawn(async move {
+                let mut socket = BufReader::new(socket);
+                let mut line = String::new();
+                while matches!(socket.read_line(&mut line).await, Ok(1..)) {
+                    let text = std::mem::take(&mut line).trim_end().to_owned();
+                    let words: Vec<&str> = text.split(' ').collect();
+                    let (reply, body) = match words[..] {
+                        ["PULL", id, fields, length] => {
+                            let mut body = vec![0; length.parse::<usize>().unwrap() + 2];
+                            socket.read_exact(&mut body).await.unwrap();
+                            body.truncate(body.len() - 2);
+                            (script(id, fields), body)
+                        }
+                        ["ECHO", tag] => (format!("{tag} green - 0\r\n\r\n").into_bytes(), Vec::new()),
+                        _ => Default::default(),
+                    };
+                    let _ = tell.send((text, body));
+                    if socket.write_all(&reply).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Host { at, heard }
+}
+
+impl Host {
+    /// The next line that begins so.
+    pub async fn next(&mut self, word: &str) -> Heard {
+        loop {
+            let heard = timeout(PATIENCE, self.heard.recv()).await.expect("a line in time").unwrap();
+            if heard.0.starts_with(word) {
+                return heard;
+            }
+        }
+    }
+}
+
+pub fn served(id: &str, body: &str) -> Vec<u8> {
+    format!("{id} served rev=77aa,since=1764576000123,res=mem {}\r\n{body}\r\n", body.len()).into_bytes()
+}
+
+/// A notice board: each poll is told with its last number, and sent what is put in.
+pub struct Board {
+    pub at: SocketAddr,
+    pub polls: mpsc::UnboundedReceiver<(u64, mpsc::UnboundedSender<String>)>,
+}
+
+pub async fn board() -> Board {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (tell, polls) = mpsc::unbounded_channel();
+    let at = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let tell = tell.clone();
+            tokio::spawn(async move {
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    head.push(socket.read_u8().await.unwrap());
+                }
+                let head = String::from_utf8(head).unwrap().to_lowercase();
+                let last = head.lines().find_map(|l| l.strip_prefix("last-event-id: ")).unwrap();
+                let (say, mut said) = mpsc::unbounded_channel();
+                let _ = tell.send((last.parse().unwrap(), say));
+                let _ = socket
+                    .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n")
+                    .await;
+                let mut comments = tokio::time::interval(Duration::from_millis(500));
+                loop {
+                    let text = tokio::select! {
+                        text = said.recv() => match text { Some(text) => text, None => return },
+                        _ = comments.tick() => ":\n\n".to_owned(),
+                    };
+                    if socket.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Board { at, polls }
+}
+
+impl Board {
+    pub async fn poll(&mut self) -> (u64, mpsc::UnboundedSender<String>) {
+        timeout(PATIENCE, self.polls.recv()).await.expect("a poll in time").unwrap()
+    }
+}
+
+pub fn event(rev: u64, what: &str) -> String {
+    format!("id: {rev}\ndata: {{\"rev\":{rev},{what}}}\n\n")
+}
+
+pub fn listed(id: &str, at: SocketAddr, class: &str, health: &str) -> String {
+    let site = if class == "box" { "edge" } else { "hub" };
+    format!(
+        r#"{{"host":"{id}","dial":"{at}","site":"{site}","class":"{class}","block":1,"health":"{health}","share":50,"born_ms":0}}"#
+    )
+}
+
+/// A dispatcher's process; killed when the test ends.
+pub struct Dispatcher {
+    child: Child,
+    pub at: SocketAddr,
+    pub config: PathBuf,
+    _folder: tempfile::TempDir,
+}
+
+/// The configuration: two classes, a zone `edge` with these hosts, two descriptors' worth of limits.
+pub fn config(listen: SocketAddr, board: SocketAddr, hosts: &[String]) -> String {
+    let hosts = hosts.join(",");
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","board":"{board}","unknown":[1],
+        "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
+        "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"seq":1,"whole":true,"hosts":[{hosts}]}}}}]}},
+        "settings":{{"Balancers":1,"Me":0,"Zone":1,"Zones":["hub","edge"],"Kinds":["box","parent","origin"],
+        "WeightSource":"nominal","Allowed":{{"MaxAttempts":6,"MayCancel":true,"RetryAfter":true,"MaxRetryAfterMs":1000.0,
+        "DialTimeoutMs":400.0,"KeepaliveMs":30000.0,"StreamsPerConn":100}},
+        "Classes":[{{"Name":"page","AimMs":300.0,"DeadlineMs":5000.0,"Repeat":"idempotent","Worth":1.0}},
+        {{"Name":"submit","AimMs":300.0,"DeadlineMs":5000.0,"Repeat":"deduplicated","Group":"all","KeyTtlMs":2000.0,"Worth":3.0}}],
+        "Rules":{{"FallMs":1000.0,"OverloadFactor":2.0,"StartCapacity":0.2,"WarmWithinMs":9000.0}},
+        "FamilyInfo":{{"SecondTierKind":1,"MasterKind":2,"MaxAgeMs":[12000.0,0.0],"UsableAfterMs":[20000.0,0.0],
+        "NeverKept":[false,true],"InPieces":[true,false],"InstancesByZone":[0,1],"MergesFills":false,"Tells":"all",
+        "Neighbours":"location","Straight":true,"StreamKbPerS":310.0,"GoneEverywhereMs":6000.0}}}}}}"#
+    )
+}
+
+impl Dispatcher {
+    /// Started, and ready by its own word.
+    pub async fn start(board: SocketAddr, hosts: &[String]) -> Self {
+        // The system names a free port; nobody else is given it so soon.
+        let at = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("config.json");
+        std::fs::write(&file, config(at, board, hosts)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_pointspindle"))
+            .arg("run")
+            .env("BALANCER_CONFIG", &file)
+            .env("BALANCER_LISTEN", at.to_string())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let ready = Self { child, at, config: file, _folder: folder };
+        let alive = async {
+            while TcpStream::connect(at).await.is_err() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            let mut client = Client::connect(at).await;
+            client.ask(1, "/alive", &[], b"").await;
+            assert_eq!(client.answer(1).await.status, 200);
+        };
+        timeout(PATIENCE, alive).await.expect("it is ready in time");
+        ready
+    }
+
+    pub fn signal(&self, name: &str) {
+        let told = Command::new("kill").arg(name).arg(self.child.id().to_string()).status().unwrap();
+        assert!(told.success());
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    pub async fn exit(mut self) -> i32 {
+        let ended = async {
+            loop {
+                match self.child.try_wait().unwrap() {
+                    Some(status) => return status.code().unwrap_or(-1),
+                    None => tokio::time::sleep(Duration::from_millis(20)).await,
+                }
+            }
+        };
+        timeout(PATIENCE, ended).await.expect("it ends in time")
+    }
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+/// A web server's connection.
+pub struct Client {
+    pub write: tokio::net::tcp::OwnedWriteHalf,
+    records: FramedRead<tokio::net::tcp::OwnedReadHalf, RecordCodec>,
+    parts: BTreeMap<u16, BytesMut>,
+    ended: BTreeMap<u16, Answer>,
+}
+
+impl Client {
+    pub async fn connect(at: SocketAddr) -> Self {
+        let (read, write) = TcpStream::connect(at).await.unwrap().into_split();
+        let records = FramedRead::new(read, RecordCodec);
+        Self { write, records, parts: BTreeMap::new(), ended: BTreeMap::new() }
+    }
+
+    /// A whole request; `fields` replace or add to those of a good one for a page.
+    pub async fn ask(&mut self, id: u16, script: &str, fields: &[(&str, &str)], body: &[u8]) {
+        let bytes = request(id, script, fields, body);
+        self.write.write_all(&bytes).await.unwrap();
+    }
+
+    /// The answer to a request; none: the connection was closed first.
+    pub async fn end(&mut self, id: u16) -> Option<Answer> {
+        let read = async {
+            while !self.ended.contains_key(&id) {
+                let record = self.records.next().await?.ok()?;
+                match record.kind {
+                    STDOUT => self.parts.entry(record.id).or_default().extend_from_slice(&record.content),
+                    END_REQUEST => {
+                        let bytes = self.parts.remove(&record.id).unwrap_or_default();
+                        assert!(self.ended.insert(record.id, read_answer(bytes)).is_none(), "two ends");
+                    }
+                    _ => {}
+                }
+            }
+            self.ended.remove(&id)
+        };
+        timeout(PATIENCE, read).await.expect("an end in time")
+    }
+
+    pub async fn answer(&mut self, id: u16) -> Answer {
+        self.end(id).await.expect("an answer")
+    }
+}
+
+fn read_answer(mut bytes: BytesMut) -> Answer {
+    let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else { return Answer::default() };
+    let head = String::from_utf8(bytes.split_to(end).to_vec()).unwrap();
+    bytes.advance(4);
+    let status = head.strip_prefix("Status: ").unwrap()[..3].parse().unwrap();
+    Answer { status, head, body: bytes.to_vec() }
+}
+
+pub fn request(id: u16, script: &str, fields: &[(&str, &str)], body: &[u8]) -> BytesMut {
+    static NEXT: Mutex<u64> = Mutex::new(0x9b1f_03aa_0000_0000);
+    let txn = {
+        let mut next = NEXT.lock().unwrap();
+        *next += 1;
+        format!("{:016x}", *next)
+    };
+    let mut all = vec![("SCRIPT_NAME", script), ("HTTP_X_TXN", &txn), ("HTTP_X_ROW", "7f3a9c21e0b4d655")];
+    all.extend([("HTTP_X_TTL_MS", "4000"), ("HTTP_X_NTH", "3"), ("HTTP_X_BATCH", "17")]);
+    all.retain(|(name, _)| !fields.iter().any(|(n, _)| n == name));
+    all.extend(fields);
+    let mut params = BytesMut::new();
+    all.iter().for_each(|(n, v)| pair(&mut params, n.as_bytes(), v.as_bytes()));
+    let mut out = BytesMut::new();
+    record(&mut out, BEGIN_REQUEST, id, &[0, 1, KEEP_CONN, 0, 0, 0, 0, 0]);
+    record(&mut out, PARAMS, id, &params);
+    record(&mut out, PARAMS, id, &[]);
+    if !body.is_empty() {
+        record(&mut out, STDIN, id, body);
+    }
+    record(&mut out, STDIN, id, &[]);
+    out
+}
--- a/crates/platform-wire/src/requests.rs
+++ b/crates/platform-wire/src/requests.rs
@@ -137,8 +137,8 @@
 
     fn content(&mut self, kind: u8, id: u16, content: Bytes) -> Result<Told, Broken> {
         let unusable = |why| Ok(Told::Unusable { id, why });
-        match self.open.get_mut(&id) {
-            Some(open) => match (&mut open.stage, kind) {
+        if let Some(open) = self.open.get_mut(&id) {
+            match (&mut open.stage, kind) {
                 (Stage::Params(params), PARAMS) if content.is_empty() => {
                     let params = std::mem::take(params).freeze();
                     open.stage = Stage::Body { params, body: BytesMut::new() };
@@ -171,8 +171,7 @@
                     self.open.remove(&id);
                     return unusable("its records are out of order");
                 }
-            },
-            None => {}
+            }
         }
         self.skip(content.len())?;
         Ok(Told::Nothing)
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -113,7 +113,16 @@
     let (out, outgoing) = mpsc::unbounded_channel();
     let writer = tokio::spawn(write_out(write, outgoing, shared.clone()));
     let connection = CancellationToken::new();
-    let mut line = Line { front, shared, out, connection, running: HashMap::new(), unusable: 0, whole: 0 };
+    let mut line = Line {
+        front,
+        shared,
+        out,
+        connection,
+        running: HashMap::new(),
+        unusable: 0,
+        whole: 0,
+        finishing: false,
+    };
     line.read(read, &seat).await;
     line.connection.cancel();
     // The writer ends when the last request's task has dropped its way to it.
@@ -135,6 +144,8 @@
     unusable: usize,
     /// Requests that came whole.
     whole: usize,
+    /// It is closed once nothing is open.
+    finishing: bool,
 }
 
 impl Line {
@@ -156,7 +167,7 @@
                 waited.as_mut().reset(Instant::now() + head);
             }
             limited = waits;
-            if open == 0 && *stopping.borrow() {
+            if open == 0 && (self.finishing || *stopping.borrow()) {
                 return;
             }
             let record = tokio::select! {
@@ -216,7 +227,8 @@
             Told::Abort { id, whole: false } => self.say(bare_end(id, ProtocolStatus::Complete)),
             Told::Whole { id, params, body, keep } => {
                 self.whole += 1;
-                return self.begin(id, &params, body) && keep;
+                self.finishing |= !keep;
+                return self.begin(id, &params, body);
             }
         }
         self.unusable < UNUSABLE_MOST
