Cut connections mark a host half as much; a write's retry names the origin

The log shows (a) every write that a broken connection sent on to a parent came back as 'absent', up to seven times: choose_uncacheable named the parent as its own source, which fills from nowhere, and the miss blamed a source that was none, so the parent was never avoided; (b) the origin held off after three connections reset in a row, as all hosts' were. Ruled out: the origin itself (its answers 60 to 110 ms throughout). At fault: choose_uncacheable, on_outcome and judge in src/logic.rs. Change: the origin is named as the source where it may be; after a second failure a write waits and tries the origin again; a cut connection moves the mark by half.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -259,7 +259,8 @@
         self.running.retain(|_, token| !token.is_cancelled());
         self.running.insert(id, gone.clone());
         let client = FrontClient { id, out: self.out.clone(), gone, head: None, body: Vec::new() };
-        let span = tracing::debug_span!("request", txn = %asked.txn, class = asked.class, left = asked.ttl_ms);
+        let span =
+            tracing::debug_span!("request", txn = %asked.txn, class = asked.class, left = asked.ttl_ms);
         tokio::spawn(answer(self.front.clone(), asked, body, client).instrument(span));
         true
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,9 +42,10 @@
 const DUE_STRETCH: f64 = 2.0;
 /// So many answers overdue at a member not heard from meanwhile: it is silent.
 const SILENT_COUNT: usize = 2;
-/// Share by which one outcome moves a member's failure mark; the mark over which it is held off; the mark of
-/// a refused connection or of silence; the mark under which it is trusted again.
+/// Share by which one outcome, or one cut connection, moves a member's failure mark; the mark over which it
+/// is held off; of a refused connection or of silence; under which it is trusted again.
 const MARK_STEP: f64 = 0.2;
+const MARK_CUT: f64 = 0.1;
 const MARK_HOLD: f64 = 0.4;
 const MARK_HARD: f64 = 0.5;
 const MARK_TRUST: f64 = 0.3;
@@ -596,11 +597,9 @@
             match e.kb.filter(|_| self.set.stream_kb_per_s > 0.0) {
                 _ if kb.is_some() => {}
                 Some(size) => self.learn(class, size / self.set.stream_kb_per_s),
-                None if self.sizes_told || !quick => {}
-                None if matches!(e.note, Note::Hit | Note::Old | Note::Untold) => {
-                    self.learn(class, e.elapsed as f64 / 1e6);
-                }
-                None => {}
+                None if !quick || self.sizes_told => {}
+                None if !matches!(e.note, Note::Hit | Note::Old | Note::Untold) => {}
+                None => self.learn(class, e.elapsed as f64 / 1e6),
             }
         }
         let size = seconds * if kb.is_some() { 1.0 } else { UNTOLD_SIZE };
@@ -622,9 +621,9 @@
         match blame {
             Blame::Nobody => {}
             Blame::Cache => o.avoid.push(out.member),
-            Blame::Source => o.avoid.extend(source),
+            Blame::Source => o.avoid.push(source.unwrap_or(out.member)),
         }
-        if full && self.set.classes[class].uncacheable {
+        if self.set.classes[class].uncacheable && (full || blame != Blame::Nobody && o.attempts > 1) {
             o.not_before = now + (BACK_OFF << o.fulls.min(6));
             o.avoid.clear();
         } else if o.fulls >= FULL_MOST {
@@ -695,7 +694,8 @@
             (_, Note::SourceRefused | Note::SourceUnreachable | Note::OriginFailed) => {
                 let origin = self.origin().filter(|_| e.note == Note::OriginFailed);
                 if let Some(s) = origin.or(source) {
-                    self.bad(now, s, if e.note == Note::SourceUnreachable { MARK_HARD } else { 0.0 });
+                    let least = if e.note == Note::SourceUnreachable { MARK_HARD } else { 0.0 };
+                    self.bad(now, s, least, MARK_STEP);
                     self.members.entry(s).and_modify(|m| m.health.failed_at = Some(now));
                 }
                 Blame::Source
@@ -705,11 +705,11 @@
                 if source.is_some() && self.set.notes == Notes::None && (error || e.elapsed > NEAR) =>
             {
                 if let Some(s) = source {
-                    self.bad(now, s, 0.0);
+                    self.bad(now, s, 0.0, MARK_STEP);
                     self.members.entry(s).and_modify(|m| m.health.failed_at = Some(now));
                 }
                 if error {
-                    self.bad(now, out.member, 0.0);
+                    self.bad(now, out.member, 0.0, MARK_STEP);
                 }
                 Blame::Source
             }
@@ -718,20 +718,18 @@
                 if let Some(m) = self.members.get_mut(&out.member).filter(|m| m.out == 0) {
                     m.presence.missed(out.sent, now);
                 }
-                self.bad(now, out.member, MARK_HARD);
+                self.bad(now, out.member, MARK_HARD, MARK_STEP);
                 Blame::Cache
             }
-            // A dead process cuts all that it held, which adds up; single cuts are like single errors.
+            // A dead process refuses the next connection: cuts that are the way's come from every host alike.
             (Status::Reset | Status::Error, _) => {
-                self.bad(now, out.member, 0.0);
+                self.bad(now, out.member, 0.0, if error { MARK_STEP } else { MARK_CUT });
                 Blame::Cache
             }
             (Status::Timeout, _) => {
                 let (at, blame) =
                     if quiet { (Some(out.member), Blame::Cache) } else { (source, Blame::Source) };
-                if let Some(at) = at {
-                    self.bad(now, at, 0.0);
-                }
+                at.into_iter().for_each(|at| self.bad(now, at, 0.0, MARK_STEP));
                 blame
             }
             (Status::Cancelled, _) => out.cancelled.unwrap_or(Blame::Cache),
@@ -748,9 +746,9 @@
     }
 
     /// Moves the failure mark, at least to `least`; over the line the member is held off, longer each time.
-    fn bad(&mut self, now: Micros, id: MemberId, least: f64) {
+    fn bad(&mut self, now: Micros, id: MemberId, least: f64, step: f64) {
         let Some(m) = self.members.get_mut(&id) else { return };
-        m.health.mark = (m.health.mark * (1.0 - MARK_STEP) + MARK_STEP).max(least);
+        m.health.mark = (m.health.mark * (1.0 - step) + step).max(least);
         if m.health.mark >= MARK_HOLD && now >= m.health.held_until {
             m.health.held_until = now + (HOLD_FIRST << m.health.holds.min(8)).min(HOLD_LONGEST);
             m.health.holds += 1;
@@ -784,11 +782,10 @@
             let on_trial = self.members.get(&id).is_some_and(|m| m.health.mark >= MARK_TRUST);
             if count >= SILENT_COUNT || on_trial {
                 self.members.entry(id).and_modify(|m| m.presence.silent = true);
-                self.bad(now, id, MARK_HARD);
-                for (request, o) in self.open.iter_mut().filter(|_| self.set.may_cancel) {
-                    if self.set.classes[o.req.class].repeat == Repeat::Unsafe {
-                        continue;
-                    }
+                self.bad(now, id, MARK_HARD, MARK_STEP);
+                let set = &self.set;
+                let once = |o: &Open| set.classes[o.req.class].repeat == Repeat::Unsafe;
+                for (request, o) in self.open.iter_mut().filter(|(_, o)| set.may_cancel && !once(o)) {
                     for out in o.out.iter_mut().filter(|out| out.cancelled.is_none() && out.member == id) {
                         out.cancelled = Some(Blame::Cache);
                         act.push(Action::Cancel { request: *request, attempt: out.attempt });
@@ -1041,7 +1038,10 @@
         let origin = self.able(now, o, |m| self.is_origin(m)).first().map(|m| m.entry.id);
         let parent = fit(self.able(now, o, |m| self.is_parent(m)));
         if self.set.straight {
-            let parent = parent.map(|p| Choice::Send(p, Some(p)));
+            // A parent that is its own source fills from nowhere.
+            let listed =
+                self.members.values().find(|m| self.is_origin(m) && self.may_send(now, m, o.req.class));
+            let parent = parent.map(|p| Choice::Send(p, Some(listed.map_or(p, |m| m.entry.id))));
             return origin.map(|m| Choice::Send(m, None)).or(parent).unwrap_or(Choice::Wait);
         }
         match (fit(self.able(now, o, |m| self.is_cache(m))), origin.or(parent)) {
