Answers are judged late by their own size, which their bytes tell on sockets

Seen: on churn 1,359 of 24,000 requests were refused although no host was overloaded; all of them had been sent to look at a held copy for want of room, with 14 to 16 attempts under way at hosts that had carried 30 a moment before. Ruled out: cold budgets (refusals came with two and with three warm hosts), CPU (0.06 of a core), resets (five). At fault: on_outcome in src/logic.rs judged each answer against the class's mean sending time, so the large ones (p95 573 ms against an aim of 373) lowered the limit; the dispatcher on sockets knew every size and told none (upstream.rs). Change: answers tell their size, reckoned in bytes at the pace of one answer (settings.rs); the module judges lateness and pace by it. Test: tests/design.rs.

--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -67,6 +67,9 @@
         // From here on kinds are told by their role.
         router.parent_kind = router.parent_kind.map(|_| Role::Parent.kind());
         router.origin_kind = router.origin_kind.map(|_| Role::Origin.kind());
+        // Answers tell their size by their bytes: the pace is reckoned in bytes on the connection as well, which the
+        // settings' KB need not be. Without it sizes say nothing.
+        router.stream_kb_per_s = start.flow_bytes_per_s / 1024.0;
         let mut forms = Vec::new();
         let mut specs = Vec::new();
         for (i, class) in c.classes.iter().flatten().enumerate() {
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -403,14 +403,9 @@
         Word::Nobody | Word::Green => return vec![error(WireStatus::Unspecified, false, note)],
     };
     let bytes = answer.body.len() as u64;
-    // Sizes are not told at this site, and what the module reckons with is the sending time that the settings give.
-    let head = AnswerHead {
-        note: note as i32,
-        size: None,
-        validator: answer.tag,
-        not_modified,
-        ..Default::default()
-    };
+    let size = (!not_modified).then_some(bytes);
+    let head =
+        AnswerHead { note: note as i32, size, validator: answer.tag, not_modified, ..Default::default() };
     let end = Part::End(CallEnd::Complete(EndHead { bytes, load: None }));
     if not_modified || answer.body.is_empty() {
         return vec![end, Part::Head(head)];
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -398,7 +398,7 @@
             self.sizes_told = true;
             self.learn(req.class, kb / self.set.stream_kb_per_s);
         }
-        let (worth, seconds) = (self.set.classes[req.class].worth, self.seconds(&req));
+        let (worth, seconds) = (self.set.classes[req.class].worth, self.seconds(req.class, req.kb));
         self.asked.0 += MEAN_STEP * (worth - self.asked.0);
         self.asked.1 += MEAN_STEP * (seconds - self.asked.1);
         let (deadline, out, avoid) = (now + req.left, Vec::new(), Vec::new());
@@ -548,7 +548,6 @@
     // ---- outcome
 
     fn on_outcome(&mut self, now: Micros, e: Outcome, act: &mut Vec<Action>) {
-        let seconds = self.open.get(&e.request).map_or(0.0, |o| self.seconds(&o.req));
         let Some(o) = self.open.get_mut(&e.request) else { return };
         let Some(place) = o.out.iter().position(|out| out.attempt == e.attempt) else { return };
         let out = o.out.swap_remove(place);
@@ -562,6 +561,8 @@
         o.fulls += full as u32;
         let (done, class, kb, key) =
             (o.done || e.closed, o.req.class, o.req.kb, (o.req.object, o.req.part));
+        let told = e.kb.or(kb).filter(|_| self.set.stream_kb_per_s > 0.0);
+        let seconds = self.seconds(class, told);
         let source = out.source.filter(|s| *s != out.member);
         if let Some(m) = self.members.get_mut(&out.member) {
             m.out = m.out.saturating_sub(1);
@@ -594,15 +595,15 @@
             // other requests tell their sizes: a cold member's budget would be charged too little (one door
             // of two tells none).
             let quick = e.elapsed <= self.set.classes[class].aim;
-            match e.kb.filter(|_| self.set.stream_kb_per_s > 0.0) {
+            match told {
                 _ if kb.is_some() => {}
-                Some(size) => self.learn(class, size / self.set.stream_kb_per_s),
+                Some(_) => self.learn(class, seconds),
                 None if !quick || self.sizes_told => {}
                 None if !matches!(e.note, Note::Hit | Note::Old | Note::Untold) => {}
                 None => self.learn(class, e.elapsed as f64 / 1e6),
             }
         }
-        let size = seconds * if kb.is_some() { 1.0 } else { UNTOLD_SIZE };
+        let size = seconds * if told.is_some() { 1.0 } else { UNTOLD_SIZE };
         let class_aim =
             self.set.classes[class].aim as f64 + self.set.classes[class].aim_stretch * 1e6 * size;
         let late = e.elapsed as f64 > class_aim || e.status == Status::Full;
@@ -771,7 +772,8 @@
         let mut overdue: BTreeMap<MemberId, usize> = BTreeMap::new();
         for o in self.open.values() {
             for out in o.out.iter().filter(|out| out.cancelled.is_none()) {
-                let due = out.sent + DUE + (DUE_STRETCH * 1e6 * self.seconds(&o.req)) as Micros;
+                let due =
+                    out.sent + DUE + (DUE_STRETCH * 1e6 * self.seconds(o.req.class, o.req.kb)) as Micros;
                 let heard = self.members.get(&out.member).map_or(now, |m| m.presence.heard);
                 if now > due && heard < out.sent {
                     *overdue.entry(out.member).or_default() += 1;
@@ -842,12 +844,10 @@
         m.entry.zone == self.set.zone && !self.is_origin(m) && !self.is_parent(m)
     }
 
-    /// Sending time of a request: by its size where told, else its class's mean.
-    fn seconds(&self, req: &Request) -> f64 {
-        match req.kb {
-            Some(kb) if self.set.stream_kb_per_s > 0.0 => kb / self.set.stream_kb_per_s,
-            _ => self.mean[req.class],
-        }
+    /// Sending time of an answer: by its size where told, else its class's mean.
+    fn seconds(&self, class: usize, kb: Option<f64>) -> f64 {
+        let pace = self.set.stream_kb_per_s;
+        kb.filter(|_| pace > 0.0).map_or(self.mean[class], |kb| kb / pace)
     }
 
     fn weight(&self, m: &Member) -> f64 {
@@ -992,7 +992,7 @@
     /// What earns more for its sending time than most comes first where there is not room for all.
     fn stretch(&self, req: &Request) -> f64 {
         let usual = self.asked.0 / self.asked.1.max(1e-6);
-        let own = self.set.classes[req.class].worth / self.seconds(req).max(1e-6);
+        let own = self.set.classes[req.class].worth / self.seconds(req.class, req.kb).max(1e-6);
         (own / usual.max(1e-6)).sqrt().clamp(LIMIT_STRETCH.0, LIMIT_STRETCH.1)
     }
 
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -395,3 +395,29 @@
     assert!(s.end(&through, Status::Miss, Note::SourceLacks).is_empty() && s.finals().is_empty());
     assert_eq!(s.wait(100 * MS).remove(0).member, origin);
 }
+
+/// A large object takes its time: its answer is late only against its own size, where the answer tells that.
+#[test]
+fn answers_are_judged_late_by_their_own_size() {
+    let takes = |kb: Option<f64>| {
+        let mut s = Stage::new();
+        let ask = |s: &mut Stage, i: usize| {
+            let object = ObjectId::named(&format!("o{i}"));
+            let (id, left) = (RequestId(1_000_000 + i as u64), 3 * S);
+            s.tell(Event::Request(Request { id, class: VIDEO, object, part: 0, group: 5, left, kb: None }))
+        };
+        for i in 0..200 {
+            let sent = ask(&mut s, i).remove(0);
+            s.now += 700 * MS;
+            // One in four is large: 700 ms of sending at full pace.
+            let (elapsed, kb) = if i % 4 == 0 { (700, kb) } else { (20, kb.map(|kb| kb / 35.0)) };
+            let (request, attempt, member) = (sent.request, sent.attempt, sent.member);
+            let (status, note, elapsed) = (Status::Ok, Note::Hit, elapsed * MS);
+            let outcome = Outcome { request, attempt, member, status, note, elapsed, kb, closed: true };
+            s.tell(Event::Outcome(outcome));
+        }
+        (200..400).flat_map(|i| ask(&mut s, i)).filter(|sent| sent.source() != sent.member).count()
+    };
+    let (told, untold) = (takes(Some(4_200.0)), takes(None));
+    assert!(told > untold, "{told} where sizes are told, {untold} where not");
+}
