--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -318,3 +318,80 @@
         self.connection.wake.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn queued(connection: &Connection) -> Vec<String> {
+        connection.lock().queue.iter().map(|o| String::from_utf8_lossy(&o.bytes).into_owned()).collect()
+    }
+
+    fn place(connection: &Arc<Connection>, id: &str) -> Placed {
+        connection.place(id, Bytes::from(format!("PULL {id}"))).expect("it is open")
+    }
+
+    /// Takes what waits as written.
+    fn write_all(connection: &Connection) {
+        let ids: Vec<String> = connection.lock().queue.drain(..).filter_map(|o| o.call).collect();
+        ids.iter().for_each(|id| connection.wrote(id));
+    }
+
+    fn answer(id: &str) -> Answer {
+        let (tag, body) = (String::new(), Bytes::new());
+        Answer { id: id.into(), word: Word::Served, note: 1, tag, since_ms: 0, fill_ms: 0, body }
+    }
+
+    #[tokio::test]
+    async fn the_end_of_a_connection_tells_each_call_whether_it_may_have_run() {
+        let connection = Connection::new();
+        let (mut written, mut answered) = (place(&connection, "a"), place(&connection, "b"));
+        write_all(&connection);
+        let mut waiting = place(&connection, "c");
+        connection.answered(answer("b"));
+        connection.end();
+        assert_eq!(written.written().await, Ok(()));
+        assert_eq!(written.answer().await, Err(Lost::Broken));
+        assert_eq!(answered.answer().await.map(|a| a.id), Ok("b".to_owned()), "told before the end");
+        assert_eq!(waiting.written().await, Err(Lost::NotSent));
+        assert!(connection.place("d", Bytes::new()).is_none());
+    }
+
+    #[tokio::test]
+    async fn what_is_given_up_before_it_went_out_never_does_and_after_that_is_killed() {
+        let connection = Connection::new();
+        drop(place(&connection, "a"));
+        assert!(queued(&connection).is_empty() && connection.room("a", 1) == Some(0));
+        let call = place(&connection, "b");
+        write_all(&connection);
+        drop(call);
+        assert_eq!(queued(&connection), ["KILL b\r\n"]);
+        assert_eq!(
+            connection.room("b", 9),
+            None,
+            "an answer that crossed the KILL would be taken for the new one"
+        );
+        // ... and now comes, with a copy: nobody's.
+        connection.answered(answer("b"));
+        connection.answered(answer("b"));
+        assert_eq!(connection.room("c", 9), Some(0));
+    }
+
+    /// A connection that goes on for long holds what is under way, and the last ids given up.
+    #[tokio::test]
+    async fn nothing_stays_of_calls_that_are_over() {
+        let connection = Connection::new();
+        for n in 0..100_000 {
+            let id = format!("{n:016x}");
+            let mut call = place(&connection, &id);
+            write_all(&connection);
+            if n % 2 == 0 {
+                connection.answered(answer(&id));
+                assert!(call.answer().await.is_ok());
+            }
+        }
+        connection.lock().queue.clear();
+        let locked = connection.lock();
+        assert!(locked.calls.is_empty() && locked.killed.len() <= KILLED_MOST);
+    }
+}
