--- a/crates/edge/src/net/exchange.rs
+++ b/crates/edge/src/net/exchange.rs
@@ -338,6 +338,7 @@
                 Step::Part(Part::Head(head)) => {
                     if let Some(attempt) = &mut current {
                         let (note, number) = (head.note(), attempt.number);
+                        tracing::debug!(attempt = number, ?note, "answer");
                         // What is not sent says nothing of what sending costs.
                         let size = head.size.filter(|_| !head.not_modified && head.code == 0);
                         attempt.head = Some(head);
