--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,8 +42,8 @@
 const DUE_STRETCH: f64 = 2.0;
 /// So many answers overdue at a member not heard from meanwhile: it is silent.
 const SILENT_COUNT: usize = 2;
-/// Share by which one outcome, or one cut connection, moves a member's failure mark; the mark over which it
-/// is held off; of a refused connection or of silence; under which it is trusted again.
+/// Share by which one outcome moves a member's failure mark, and one that may be another's; the mark over
+/// which it is held off; of a refused connection or of silence; under which it is trusted again.
 const MARK_STEP: f64 = 0.2;
 const MARK_CUT: f64 = 0.1;
 const MARK_HOLD: f64 = 0.4;
@@ -722,17 +722,17 @@
                 self.bad(now, out.member, MARK_HARD, MARK_STEP);
                 Blame::Cache
             }
-            // A dead process refuses the next connection: cuts that are the way's come from every host alike.
-            (Status::Reset | Status::Error, _) => {
-                self.bad(now, out.member, 0.0, if error { MARK_STEP } else { MARK_CUT });
-                Blame::Cache
+            // A cache that answers others lost this one, or its source is slow: as likely one as the other.
+            (Status::Timeout, _) if !quiet => {
+                source.into_iter().for_each(|s| self.bad(now, s, 0.0, MARK_CUT));
+                Blame::Source
             }
-            // A cache that answers others lost this one, or its source did: that it tells itself.
-            (Status::Timeout, _) if quiet => {
-                self.bad(now, out.member, 0.0, MARK_STEP);
+            // A dead process refuses the next connection: cuts that are the way's come from every host alike.
+            (Status::Reset | Status::Error | Status::Timeout, _) => {
+                let cut = e.status == Status::Reset;
+                self.bad(now, out.member, 0.0, if cut { MARK_CUT } else { MARK_STEP });
                 Blame::Cache
             }
-            (Status::Timeout, _) => Blame::Source,
             (Status::Cancelled, _) => out.cancelled.unwrap_or(Blame::Cache),
             (Status::Moot, _) => Blame::Nobody,
         }
