Alive only once a list is known; fields that nobody read are gone

Need: /alive answered 200 before there was anybody to ask. Change: the desk tells the number of its list; settings no longer read what nothing uses. Test in crates/cli/tests/platform.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -22,6 +22,30 @@
     (board, cache, origin, dispatcher)
 }
 
+/// Taken into service once there is somebody to ask.
+#[tokio::test]
+async fn it_is_alive_once_a_list_is_known() {
+    let mut board = board().await;
+    let empty = |at| {
+        let text = config(at, board.at, &[]);
+        let known = text.find("\"known\"").unwrap()..text.find("\"settings\"").unwrap();
+        text.replacen(&text[known], "", 1)
+    };
+    let dispatcher = Dispatcher::spawn(empty).await;
+    assert_eq!(dispatcher.alive().await, 503);
+    let cache = host(|id, _| served(id, "good")).await;
+    let (last, say) = board.poll().await;
+    assert_eq!(last, 0);
+    let whole = listed("s-1", cache.at, "box", "Ready");
+    say.send(event(1, &format!("\"pool\":{{\"seq\":1,\"whole\":true,\"hosts\":[{whole}]}}"))).unwrap();
+    let ready = async {
+        while dispatcher.alive().await != 200 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, ready).await.expect("it is ready in time");
+}
+
 #[tokio::test]
 async fn requests_go_all_the_way_and_their_answers_back() {
     let script = |id: &str, fields: &str| match fields {
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -168,11 +168,18 @@
 impl Dispatcher {
     /// Started, and ready by its own word.
     pub async fn start(board: SocketAddr, hosts: &[String]) -> Self {
+        let started = Self::spawn(|at| config(at, board, hosts)).await;
+        assert_eq!(started.alive().await, 200);
+        started
+    }
+
+    /// Started, and listening.
+    pub async fn spawn(config: impl FnOnce(SocketAddr) -> String) -> Self {
         // The system names a free port; nobody else is given it so soon.
         let at = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("config.json");
-        std::fs::write(&file, config(at, board, hosts)).unwrap();
+        std::fs::write(&file, config(at)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_pointspindle"))
             .arg("run")
             .env("BALANCER_CONFIG", &file)
@@ -180,17 +187,20 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let ready = Self { child, at, config: file, _folder: folder };
-        let alive = async {
+        let listening = async {
             while TcpStream::connect(at).await.is_err() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
-            let mut client = Client::connect(at).await;
-            client.ask(1, "/alive", &[], b"").await;
-            assert_eq!(client.answer(1).await.status, 200);
         };
-        timeout(PATIENCE, alive).await.expect("it is ready in time");
-        ready
+        timeout(PATIENCE, listening).await.expect("it listens in time");
+        Self { child, at, config: file, _folder: folder }
+    }
+
+    /// What it says of itself.
+    pub async fn alive(&self) -> u16 {
+        let mut client = Client::connect(self.at).await;
+        client.ask(1, "/alive", &[], b"").await;
+        client.answer(1).await.status
     }
 
     pub fn signal(&self, name: &str) {
--- a/crates/edge/src/net/desk.rs
+++ b/crates/edge/src/net/desk.rs
@@ -190,6 +190,11 @@
         self.dirty.notify_one();
     }
 
+    /// Number of the list in force; 0: none yet.
+    pub fn list_seq(&self) -> u64 {
+        self.lock().core.list_seq()
+    }
+
     pub fn list(&self) -> ListHead {
         let now = self.now();
         self.lock().core.members(now)
--- a/crates/platform-wire/src/asked.rs
+++ b/crates/platform-wire/src/asked.rs
@@ -9,7 +9,6 @@
     pub name: String,
     pub keyed: bool,
     pub write: bool,
-    pub in_parts: bool,
     /// The most that a client waits.
     pub deadline_ms: u64,
 }
--- a/crates/platform-wire/src/settings.rs
+++ b/crates/platform-wire/src/settings.rs
@@ -37,7 +37,7 @@
         need {}
         may { second_tier_kind: i64, master_kind: i64, instances_by_zone: Vec<u32>,
               max_age_ms: Vec<f64>, usable_after_ms: Vec<f64>,
-              never_kept: Vec<bool>, in_pieces: Vec<bool>, straight: bool, stream_kb_per_s: f64, merges_fills: bool,
+              never_kept: Vec<bool>, straight: bool, stream_kb_per_s: f64, merges_fills: bool,
               neighbours: String, tells: String, parent_starts_at: f64, upper_cold_ms: f64,
               parent_fall_multiple: f64, gone_everywhere_ms: f64 }
     }
@@ -52,7 +52,7 @@
 }
 
 /// The value of a list by class or zone, where it is that long.
-pub fn at<T: Copy + Default>(list: &Option<Vec<T>>, i: usize) -> T {
+fn at<T: Copy + Default>(list: &Option<Vec<T>>, i: usize) -> T {
     list.as_ref().and_then(|l| l.get(i)).copied().unwrap_or_default()
 }
 
--- a/crates/platform-wire/src/start.rs
+++ b/crates/platform-wire/src/start.rs
@@ -14,17 +14,15 @@
     pub limits: Limits,
     pub board: String,
     #[serde(default)]
+    /// Top pace of one answer on a connection.
     pub flow_bytes_per_s: f64,
     #[serde(default)]
-    pub link_bytes_per_s: f64,
-    #[serde(default)]
     pub known: Known,
     pub settings: Config,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
-    pub cores: f64,
     pub memory_mb: u64,
     pub sockets: usize,
 }
--- a/crates/platform-wire/tests/fastcgi.rs
+++ b/crates/platform-wire/tests/fastcgi.rs
@@ -141,13 +141,7 @@
 }
 
 fn classes() -> Vec<ClassForm> {
-    let form = |name: &str, write| ClassForm {
-        name: name.into(),
-        keyed: write,
-        write,
-        in_parts: !write,
-        deadline_ms: 3_000,
-    };
+    let form = |name: &str, write| ClassForm { name: name.into(), keyed: write, write, deadline_ms: 3_000 };
     vec![form("page", false), form("submit", true)]
 }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -247,7 +247,10 @@
         let asked = match asked::read(params, &body, &self.front.shape.classes) {
             Ok(Question::Asked(asked)) => asked,
             Ok(Question::Alive) => {
-                self.say(last_word(id, "200 OK", "", Bytes::from_static(b"alive\n")));
+                // Without a list nobody could be asked.
+                let ready = self.front.desk.list_seq() > 0;
+                let status = if ready { "200 OK" } else { "503 Service Unavailable" };
+                self.say(last_word(id, status, "", Bytes::new()));
                 return true;
             }
             Err(why) => return self.unusable(id, why),
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -44,10 +44,9 @@
     let shape = Shape::new(&start);
     let shape = shape.map_err(|source| RunError::Shape { file: file.display().to_string(), source })?;
     let shape = Arc::new(shape);
-    let value = listen.unwrap_or(start.listen);
-    let address: SocketAddr = match value.parse() {
-        Ok(address) => address,
-        Err(_) => return Err(RunError::Address { name: "BALANCER_LISTEN", value }),
+    let address = match listen {
+        None => shape.listen,
+        Some(value) => value.parse().map_err(|_| RunError::Address { name: "BALANCER_LISTEN", value })?,
     };
     let mut meetings = None;
     let desk = Arc::new(Desk::new(Arc::new(shape.edge.clone()), shape.seed, |meter| {
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,7 +1,7 @@
 //! The start configuration as the settings of a dispatcher: limits become bounds, names become numbers.
 use pointspindle_config::{ClassSpec, EdgeSettings, Listen, Role, Upstream};
 use pointspindle_platform_wire::asked::ClassForm;
-use pointspindle_platform_wire::settings::{at, settings, told};
+use pointspindle_platform_wire::settings::{settings, told};
 use pointspindle_platform_wire::start::Start;
 use std::net::SocketAddr;
 
@@ -22,6 +22,8 @@
 /// What the platform's shell needs besides the dispatcher's settings.
 #[derive(Clone, Debug)]
 pub struct Shape {
+    /// Where clients connect.
+    pub listen: SocketAddr,
     pub edge: EdgeSettings,
     pub classes: Vec<ClassForm>,
     /// Role of each kind of the settings, by name.
@@ -30,7 +32,6 @@
     pub member_connections: usize,
     pub connections_each: usize,
     pub seed: u64,
-    pub cores: f64,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -79,7 +80,6 @@
                 name: name.clone(),
                 keyed: matches!(router.classes[i].repeat, pointspindle::Repeat::Keyed { .. }),
                 write: router.classes[i].uncacheable,
-                in_parts: at(&c.family_info.in_pieces, i),
                 deadline_ms: deadline_us / 1_000,
             });
             specs.push(ClassSpec { name, path_prefix: None, deadline_us });
@@ -142,16 +142,14 @@
             buffer_bytes: limits.memory_mb * 1024 * 1024 / 4,
             router,
         };
-        // Listening is the configuration's; it was only checked here.
-        let _ = listen;
         Ok(Self {
+            listen,
             edge,
             classes: forms,
             kinds,
             member_connections: members,
             connections_each: (members / 4).max(1),
             seed: u64::from_str_radix(&start.seed, 16).unwrap_or_default(),
-            cores: limits.cores,
         })
     }
 
