--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -200,6 +200,65 @@
     assert_eq!(usual.answer(1).await.status, 200);
 }
 
+/// More than there are places for, and none says anything: each is closed, and a usual client is served meanwhile.
+#[tokio::test]
+async fn a_crowd_that_says_nothing_is_closed() {
+    let (_board, _cache, _origin, dispatcher) = small(|id, _| served(id, "good")).await;
+    let mut crowd = Vec::new();
+    for n in 0..150 {
+        crowd.push(Client::connect(dispatcher.at).await);
+        if n % 30 == 0 {
+            let mut usual = Client::connect(dispatcher.at).await;
+            usual.ask(1, "/ops/page", &[], b"").await;
+            // One whose place was wanted comes again, as web servers do.
+            if let Some(answer) = usual.end(1).await {
+                assert_eq!(answer.body, b"good");
+            }
+        }
+    }
+    for client in &mut crowd {
+        assert!(client.end(1).await.is_none());
+    }
+    let mut usual = Client::connect(dispatcher.at).await;
+    usual.ask(1, "/ops/page", &[], b"").await;
+    assert_eq!(usual.answer(1).await.body, b"good");
+}
+
+/// Hundreds taken back in one moment: each is given up at its cache host, and every number is free again.
+#[tokio::test]
+async fn hundreds_of_aborts_at_once_leave_nothing() {
+    let script = |id: &str, fields: &str| match fields.contains("obj=aaaaaaaaaaaaaaaa") {
+        true => Vec::new(),
+        false => served(id, "good"),
+    };
+    let (_board, mut cache, _origin, dispatcher) = small(script).await;
+    let mut clients = Vec::new();
+    let mut aborts = BytesMut::new();
+    for id in 1..=32 {
+        record(&mut aborts, ABORT_REQUEST, id, &[]);
+    }
+    for _ in 0..8 {
+        let mut client = Client::connect(dispatcher.at).await;
+        for id in 1..=32 {
+            client.ask(id, "/ops/page", &[("HTTP_X_ROW", "aaaaaaaaaaaaaaaa")], b"").await;
+        }
+        clients.push(client);
+    }
+    // Those that found room are at the cache host; the others were refused.
+    cache.next("PULL").await;
+    for client in &mut clients {
+        client.write.write_all(&aborts).await.unwrap();
+    }
+    for client in &mut clients {
+        for id in 1..=32 {
+            assert_ne!(client.answer(id).await.status, 200);
+        }
+        client.ask(1, "/ops/page", &[], b"").await;
+        assert_eq!(client.answer(1).await.body, b"good");
+    }
+    cache.next("KILL").await;
+}
+
 /// Drains and new hosts of the board's events; a new board at SIGHUP is asked from the last number on.
 #[tokio::test]
 async fn the_board_is_followed_and_a_new_one_asked_at_sighup() {
