--- a/crates/edge/src/net/keeper.rs
+++ b/crates/edge/src/net/keeper.rs
@@ -13,6 +13,8 @@
 
 /// Newcomers that are being turned away at once; more are dropped without a word.
 const TURNING: usize = 64;
+/// Idle connections that make room when descriptors have run out.
+const ROOM: usize = 16;
 /// Time and bytes for a turned-away client to take its answer.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 const UNREAD: usize = 16 * 1024;
@@ -74,12 +76,17 @@
         }
     }
 
-    /// Descriptors have run out: idle connections make room.
-    pub fn make_room(&self, count: usize) -> usize {
-        let mut locked = self.lock();
-        let close = locked.admission.make_room(count);
-        locked.tell(&close);
-        close.len()
+    /// A connection could not be accepted. Out of descriptors, most likely: idle connections make room, and a short wait
+    /// lets them close instead of spinning.
+    pub async fn accept_failed(&self, error: std::io::Error) {
+        let closing = {
+            let mut locked = self.lock();
+            let close = locked.admission.make_room(ROOM);
+            locked.tell(&close);
+            close.len()
+        };
+        tracing::warn!(%error, closing, "accept failed");
+        tokio::time::sleep(Duration::from_millis(50)).await;
     }
 
     /// Says when to come back, and closes. In a crowd, only closes.
--- a/crates/edge/src/net/mod.rs
+++ b/crates/edge/src/net/mod.rs
@@ -265,9 +265,6 @@
     }
 }
 
-/// Idle connections that make room when descriptors have run out.
-const ROOM: usize = 16;
-
 /// Accepts until told to stop; each connection is a task with a seat, and who gets none is told when to come back.
 async fn accept<F, Fut>(mut listener: Listener, door: Door, speaks: Speaks, serve: F)
 where
@@ -316,13 +313,7 @@
                     }
                 }
             }
-            Err(e) => {
-                // Out of descriptors, most likely: idle connections make room, and a short wait lets them close
-                // instead of spinning.
-                let closing = door.keeper.make_room(ROOM);
-                tracing::warn!(error = %e, closing, "accept failed");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
+            Err(e) => door.keeper.accept_failed(e).await,
         }
     }
     drop(listener);
--- a/crates/platform-wire/src/start.rs
+++ b/crates/platform-wire/src/start.rs
@@ -13,8 +13,8 @@
     pub seed: String,
     pub limits: Limits,
     pub board: String,
-    #[serde(default)]
     /// Top pace of one answer on a connection.
+    #[serde(default)]
     pub flow_bytes_per_s: f64,
     #[serde(default)]
     pub known: Known,
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -12,9 +12,8 @@
 use pointspindle_edge::core::Input;
 use pointspindle_platform_wire::board::{Host, Known, Notice, Sse, SseCodec};
 use pointspindle_wire::{ListForm, ListHead, MemberLine, PurgeHead, WireState};
-use rand::Rng;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -48,6 +47,11 @@
     gaps: u32,
 }
 
+/// For whoever reads a board; never held over a wait.
+pub fn lock(taken: &Mutex<Taken>) -> MutexGuard<'_, Taken> {
+    taken.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
 /// An event was missed: ask again.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Gap;
@@ -184,7 +188,7 @@
         if began.elapsed() > AGAIN_MOST {
             pause = AGAIN;
         }
-        let dice: f64 = rand::thread_rng().gen();
+        let dice = lock(&taken).desk.side.roll();
         tokio::time::sleep(pause.mul_f64(0.5 + dice)).await;
         pause = (pause * 2).min(AGAIN_MOST);
     }
@@ -204,7 +208,7 @@
     let connection = AbortOnDrop(tokio::spawn(async move {
         let _ = connection.await;
     }));
-    let last = taken.lock().unwrap_or_else(|p| p.into_inner()).last();
+    let last = lock(taken).last();
     let request = hyper::Request::get("/board/poll")
         .header("host", address)
         .header("accept", "text/event-stream")
@@ -228,7 +232,7 @@
             let Sse::Event { id, data } = piece else { continue };
             let mut notice: Notice = serde_json::from_str(&data).map_err(|e| text(&e))?;
             notice.rev = id.unwrap_or(notice.rev);
-            let took = taken.lock().unwrap_or_else(|p| p.into_inner()).take(notice);
+            let took = lock(taken).take(notice);
             took.map_err(|Gap| "an event is missing".to_owned())?;
         }
     }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -36,8 +36,6 @@
 /// ... and for so long once its connection is over.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 const READ_BUFFER: usize = 1024;
-/// Idle connections that make room when descriptors have run out.
-const ROOM: usize = 16;
 
 /// What the front's connections share.
 #[derive(Clone)]
@@ -82,11 +80,7 @@
                     connections.spawn(serve(front.clone(), socket, seat));
                 }
             }
-            Err(e) => {
-                let closing = front.keeper.make_room(ROOM);
-                tracing::warn!(error = %e, closing, "accept failed");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
+            Err(e) => front.keeper.accept_failed(e).await,
         }
     }
     drop(listener);
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -1,5 +1,5 @@
 //! Start, new configurations, stop.
-use crate::board::{follow, Taken};
+use crate::board::{follow, lock, Taken};
 use crate::front::{accept, Front};
 use crate::settings::{Shape, ShapeError};
 use crate::upstream::{meet_all, sweep, Lines, PlatformDesk};
@@ -82,7 +82,7 @@
     let listener =
         TcpListener::bind(address).await.map_err(|source| RunError::Listen { address, source })?;
     let door = tokio::spawn(accept(listener, front, is_closing));
-    tracing::info!(name = start.name, %address, last = taken.lock().unwrap_or_else(|p| p.into_inner()).last(), "dispatcher listens");
+    tracing::info!(name = start.name, %address, last = lock(&taken).last(), "dispatcher listens");
 
     loop {
         tokio::select! {
@@ -91,7 +91,7 @@
             _ = again.recv() => match start::read(&file) {
                 Ok(new) => {
                     tracing::info!(board = new.board, "configuration read again");
-                    taken.lock().unwrap_or_else(|p| p.into_inner()).known(new.known);
+                    lock(&taken).known(new.known);
                     board.send_replace(new.board);
                 }
                 Err(e) => tracing::error!(error = %e, "the new configuration is not used; the old one stays"),
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -38,7 +38,6 @@
 #[derive(Debug)]
 struct Member {
     dial: SocketAddr,
-    role: Role,
     /// No new connections: it is gone.
     gone: bool,
     connections: Vec<Arc<Connection>>,
@@ -111,9 +110,8 @@
     /// News of a member. Tell it before the core hears of it: what the core orders can be carried out then.
     pub fn listed(&self, listed: Listed) {
         let mut locked = self.lock();
-        let known = locked.members.entry(listed.id).or_insert_with(|| Member {
+        let known = locked.members.entry(listed.id.clone()).or_insert_with(|| Member {
             dial: listed.dial,
-            role: listed.role,
             gone: listed.gone,
             connections: Vec::new(),
             connecting: 0,
@@ -125,20 +123,17 @@
             known.connections.iter().for_each(|c| c.close());
             known.redial = Redial::default();
         }
-        (known.dial, known.role, known.gone) = (listed.dial, listed.role, listed.gone);
-        let origin = listed.role == Role::Origin && !listed.gone;
+        (known.dial, known.gone) = (listed.dial, listed.gone);
         drop(locked);
-        if origin {
-            self.meet_origin();
+        // Caches are met by the core's wish; the origin is asked straight as well.
+        if listed.role == Role::Origin && !listed.gone {
+            self.meet(listed.id);
         }
     }
 
-    fn meet_origin(&self) {
-        let locked = self.lock();
-        let origins = locked.members.iter().filter(|(_, m)| m.role == Role::Origin && !m.gone);
-        for (id, _) in origins {
-            let _ = self.meet.send(id.clone());
-        }
+    /// Dice of this dispatcher's own: from 0 to 1.
+    pub fn roll(&self) -> f64 {
+        self.lock().dice.gen()
     }
 
     /// All members that are absent from a whole list are gone.
@@ -179,18 +174,22 @@
                 let mut locked = lines.lock();
                 let Some(member) = locked.members.get(id) else { return Err(AttemptEnd::NotSent) };
                 let most = lines.settings.max_streams;
-                let room = |c: &Arc<Connection>| c.room(request, most).map(|calls| (calls, c.clone()));
-                let mut fit: Vec<(usize, Arc<Connection>)> =
-                    member.connections.iter().filter_map(room).collect();
-                fit.sort_by_key(|(calls, _)| *calls);
-                let unused = fit.iter().filter(|(calls, _)| *calls == 0).count();
+                let (mut best, mut unused) = (None, 0);
+                for connection in &member.connections {
+                    let Some(calls) = connection.room(request, most) else { continue };
+                    unused += (calls == 0) as usize;
+                    if best.is_none_or(|(least, _)| calls < least) {
+                        best = Some((calls, connection));
+                    }
+                }
+                let best = best.map(|(_, connection)| connection.clone());
                 // The next request shall find one that is unused.
                 if unused + member.connecting < 2 {
                     if let Some(wait) = lines.may_connect(&mut locked, id) {
                         tokio::spawn(connect(desk.clone(), id.to_owned(), wait));
                     }
                 }
-                if let Some((_, best)) = fit.into_iter().next() {
+                if let Some(best) = best {
                     return Ok(best);
                 }
                 let Some(member) = locked.members.get(id) else { return Err(AttemptEnd::NotSent) };
@@ -318,7 +317,7 @@
         request: RequestHead,
         body: &Bytes,
     ) -> Result<LineCall, AttemptEnd> {
-        let bytes = pull(desk, member, &request, body);
+        let bytes = pull(&request, body);
         let connection = Self::connection(desk, member, &request.trace).await?;
         let mut placed = connection.place(&request.trace, bytes).ok_or(AttemptEnd::NotSent)?;
         placed.written().await.map_err(|_| AttemptEnd::NotSent)?;
@@ -330,15 +329,8 @@
     }
 }
 
-fn pull(desk: &PlatformDesk, member: &str, request: &RequestHead, body: &Bytes) -> Bytes {
+fn pull(request: &RequestHead, body: &Bytes) -> Bytes {
     let fetch = request.fetch.as_ref();
-    let role = desk.side.lock().members.get(member).map(|m| m.role);
-    let source = match fetch {
-        // A parent that is asked to fill from itself fetches what it lacks, as its own source.
-        Some(f) if f.source.is_empty() && role == Some(Role::Parent) => member,
-        Some(f) => &f.source,
-        None => "",
-    };
     // The core's ages are in microseconds. Rounded down no copy is too old; 0 would say something else.
     let age = fetch.map_or(0, |f| if f.age_us == 0 { 0 } else { (f.age_us / 1_000).max(1) });
     let pull = Pull {
@@ -348,7 +340,7 @@
         part: request.part,
         wait_ms: (request.left_us / 1_000).max(1),
         key: &request.key,
-        source,
+        source: fetch.map_or("", |f| &f.source),
         keep: fetch.map_or(0, |f| f.keep),
         age_ms: age,
         merge: fetch.is_some_and(|f| f.join),
