Late fills limit the link, and the origin gets the share of fills that it answers in time

A mass purge at second 10 made every dispatcher ask for the same objects (parents fetch for each fill apart), and what was late was asked for again. Lines like 'end st=Full note=OriginFailed to=C src=P', 'noroom busy=7 whole=6.73 spare=false lim=48.3 w=20.0 sharing=7' (a probe's, not kept). At fault: Router::on_outcome gave every lateness to the cache (adapt), send named the origin's parents freely until the hold-off of Router::origin_well, all or nothing; a turned-away fill went to the next parent, to the same origin. Change: lateness goes to whom it belongs: hits to the cache, fills from parents to the location's link, fills by the origin to the origin's share.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -14,7 +14,7 @@
 }
 
 /// A cache, a parent or the origin. Routers agree on an object's place only if they number members alike.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct MemberId(pub u64);
 
 impl MemberId {
@@ -25,7 +25,7 @@
 }
 
 /// An object; each of its parts is kept as a copy of its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct ObjectId(pub u64);
 
 impl ObjectId {
@@ -36,7 +36,7 @@
 }
 
 /// One try of a client; never used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct RequestId(pub u64);
 
 /// How often a request of a class may run.
@@ -153,15 +153,16 @@
 }
 
 /// A member's state on the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub enum MemberState {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// One line of the member list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct MemberEntry {
     pub id: MemberId,
     pub state: MemberState,
@@ -187,7 +188,7 @@
 }
 
 /// A client's request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Request {
     pub id: RequestId,
     pub class: usize,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -67,6 +67,10 @@
 const PACE_SLOW: f64 = 2.0;
 /// Share by which one answer moves a class's mean sending time, and the location's usual pace.
 const MEAN_STEP: f64 = 0.02;
+/// A fill that the origin answers in time raises the share of fills that may go there by this much, one late
+/// or turned away lowers it; balanced at a third bad. The least share finds out when the origin is well.
+const ORIGIN_STEP: f64 = 0.5;
+const ORIGIN_LEAST: f64 = 0.04;
 /// The first guess of a class's mean (its aim) counts like so many answers.
 const MEAN_GUESS: f64 = 5.0;
 /// Where sizes are untold the mean is of quick answers: a cold member's budget is charged this much more.
@@ -78,8 +82,7 @@
 /// A keyed request is not resent in the last stretch of its window: the resend takes time to arrive.
 const KEY_MARGIN: Micros = 200 * MS;
 /// A member that is gone is forgotten after this, unless an attempt refers to it: longer than any hold,
-/// window or purge, so one that comes back under its number sooner finds its standing, and each deploy's
-/// leave in time.
+/// window or purge, so one that comes back under its number sooner finds its standing.
 const FORGET: Micros = 60_000 * MS;
 /// Purges are looked through for old ones when there are more than this, then at twice what was left.
 const PURGES_FIRST: usize = 1024;
@@ -112,7 +115,7 @@
     unsure: bool,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Member {
     entry: MemberEntry,
     health: Health,
@@ -146,7 +149,7 @@
     stale_try: bool,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Open {
     req: Request,
     deadline: Micros,
@@ -157,6 +160,8 @@
     stale_tried: bool,
     /// Times it was turned away for want of room, and until when it waits for that.
     fulls: u32,
+    /// It asked a source for what that holds only, to spare the origin, or the origin has turned it away.
+    spared: bool,
     not_before: Micros,
     /// First send that may have run, and where.
     ran: Option<(Micros, MemberId)>,
@@ -185,6 +190,9 @@
     /// The share of its part of cold budgets that it takes: none while routers may count themselves unlike.
     cold_part: f64,
     sizes_told: bool,
+    /// The limit that fills set for all caches, by weight; the share of fills that may go to the origin.
+    link: f64,
+    origin_part: f64,
     /// Worth asked for a second of sending time, lately: both as running means.
     asked: (f64, f64),
     object_purges: BTreeMap<ObjectId, Micros>,
@@ -218,6 +226,20 @@
     even + CHANCE * (even * (1.0 - 1.0 / sharing)).sqrt()
 }
 
+impl Member {
+    /// Late answers, whatever slows it: fewer at once.
+    fn adapt(&mut self, late: bool, sharing: f64) {
+        let w = self.entry.weight;
+        if late || self.out as f64 + 1.0 > self.limit / sharing / 2.0 {
+            self.limit = adapted(self.limit, late, LIMIT_LEAST * w, LIMIT_MOST * w);
+        }
+    }
+}
+
+fn adapted(limit: f64, late: bool, least: f64, most: f64) -> f64 {
+    (limit * if late { 1.0 - LIMIT_DOWN } else { 1.0 + LIMIT_UP }).clamp(least, most)
+}
+
 impl Presence {
     /// Word from it: a process is there, and a new one if there was none before.
     fn word(&mut self, now: Micros) {
@@ -252,7 +274,7 @@
 }
 
 impl Router {
-    /// A router that knows nothing yet but its settings. The seed only spreads timers.
+    /// A router that knows nothing yet but its settings. The seed spreads timers and draws.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let told = |routers: u32| routers as u64;
         let routers =
@@ -268,6 +290,8 @@
             parked: BTreeSet::new(),
             ticking: false,
             sizes_told: false,
+            link: LIMIT_MOST,
+            origin_part: 1.0,
             // Counts that are missing or contradict each other: the largest is the safe one.
             sharing: if here > 0 { here } else { routers } as f64,
             routers,
@@ -296,9 +320,7 @@
         match event {
             Event::Members { update, entries } => self.on_members(now, update, entries),
             Event::Request(req) => self.on_request(now, req, act),
-            Event::Begun(member) => {
-                self.members.entry(member).and_modify(|m| m.presence.word(now));
-            }
+            Event::Begun(id) => self.members.get_mut(&id).into_iter().for_each(|m| m.presence.word(now)),
             Event::Hello { member, started } => self.on_hello(now, member, started),
             Event::Lease { member, work, lasts } => {
                 self.members.entry(member).and_modify(|m| m.lease = Some((work, now, lasts)));
@@ -310,11 +332,15 @@
         }
         if !self.ticking && !self.open.is_empty() {
             self.ticking = true;
-            self.rng = mix(self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15));
-            act.push(Action::Timer { after: TICK + self.rng % (TICK / 8), token: 0 });
+            act.push(Action::Timer { after: TICK + self.roll() % (TICK / 8), token: 0 });
         }
     }
 
+    fn roll(&mut self) -> u64 {
+        self.rng = mix(self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15));
+        self.rng
+    }
+
     // ---- membership
 
     fn on_members(&mut self, now: Micros, update: ListUpdate, entries: Vec<MemberEntry>) {
@@ -337,14 +363,8 @@
                     m.entry = entry;
                 }
                 None => {
-                    let (limit, health, spent) =
-                        (LIMIT_FIRST * entry.weight, Health::default(), VecDeque::new());
-                    let (out, out_kb, looks, fills, presence) = (0, 0.0, 0, 0, Presence::default());
-                    let (lease, gone) = (None, None);
-                    #[rustfmt::skip]
-                    let m = Member {
-                        entry, health, out, out_kb, looks, fills, presence, limit, spent, lease, gone,
-                    };
+                    let limit = LIMIT_FIRST * entry.weight;
+                    let m = Member { entry, limit, ..Member::default() };
                     self.members.insert(m.entry.id, m);
                 }
             }
@@ -401,9 +421,7 @@
         let (worth, seconds) = (self.set.classes[req.class].worth, self.seconds(req.class, req.kb));
         self.asked.0 += MEAN_STEP * (worth - self.asked.0);
         self.asked.1 += MEAN_STEP * (seconds - self.asked.1);
-        let (deadline, out, avoid) = (now + req.left, Vec::new(), Vec::new());
-        let (attempts, stale_tried, fulls, not_before, ran, done) = (0, false, 0, 0, None, false);
-        let open = Open { req, deadline, attempts, out, avoid, stale_tried, fulls, not_before, ran, done };
+        let open = Open { deadline: now + req.left, req, ..Open::default() };
         self.open.insert(id, open);
         self.go_on(now, id, act);
     }
@@ -415,13 +433,8 @@
         if o.attempts >= self.set.max_attempts || !may_resend || now + TICK >= o.deadline {
             return self.finish(id, act);
         }
-        if now < o.not_before {
-            self.parked.insert(id);
-            return;
-        }
-        match self.choose(now, o) {
-            Choice::Send(member, source) => self.send(now, id, member, source, false, act),
-            Choice::Look(member) => self.send(now, id, member, Some(member), true, act),
+        match if now < o.not_before { Choice::Wait } else { self.choose(now, o) } {
+            Choice::Send(way) => self.send(now, id, way, act),
             Choice::Wait => {
                 self.parked.insert(id);
             }
@@ -454,10 +467,7 @@
 
     /// Final answer: refused where a retry is surely harmless, else failed.
     fn finish(&mut self, id: RequestId, act: &mut Vec<Action>) {
-        let Some(o) = self.open.get_mut(&id) else { return };
-        if o.done {
-            return;
-        }
+        let Some(o) = self.open.get_mut(&id).filter(|o| !o.done) else { return };
         let harmless = match self.set.classes[o.req.class].repeat {
             Repeat::Safe | Repeat::Keyed { group: KeyGroup::All, .. } => true,
             _ => o.ran.is_none() && o.out.is_empty(),
@@ -485,23 +495,22 @@
         }
     }
 
-    fn send(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        member: MemberId,
-        source: Option<MemberId>,
-        stale_try: bool,
-        act: &mut Vec<Action>,
-    ) {
+    fn send(&mut self, now: Micros, id: RequestId, (member, source): Way, act: &mut Vec<Action>) {
+        // What a parent lacks is the origin's work: drawn for each fill, so that the shares of all add up.
+        let draw = (self.roll() >> 11) as f64 / (1_u64 << 53) as f64;
+        let spared = draw >= self.origin_part || !self.origin_well(now);
         self.parked.remove(&id);
         let Some(o) = self.open.get(&id) else { return };
         let (class, kb) = (o.req.class, o.req.kb.unwrap_or(1.0));
         let purge_limit = self.purge_limit(now, &o.req);
         let c = &self.set.classes[class];
+        let above = source.and_then(|s| self.members.get(&s)).is_some_and(|m| !self.is_cache(m));
+        let spared = spared && above && !c.uncacheable;
+        let source = source.map(|s| if spared && Some(s) == self.origin() { member } else { s });
+        let stale_try = source == Some(member) && !c.uncacheable;
         let fetch = source.map(|source| {
             let failed_at = self.members.get(&source).and_then(|m| m.health.failed_at);
-            let old = stale_try || failed_at.is_some_and(|at| now < at + STALE_WINDOW);
+            let old = stale_try || spared || failed_at.is_some_and(|at| now < at + STALE_WINDOW);
             let most = if old && c.fresh > 0 { c.fresh + c.grace } else { c.fresh };
             // Age 0 would mean the class's fresh time, so a purge limit stays above it.
             let age = match purge_limit {
@@ -515,8 +524,8 @@
                 age,
                 // A fill begun before a purge would hand on the purged copy.
                 join: self.set.joins && purge_limit.is_none() && !c.uncacheable,
-                held_only: source != member && !c.uncacheable && !self.origin_well(now),
-                renew: c.fresh > 0 && !stale_try,
+                held_only: spared,
+                renew: c.fresh > 0 && !stale_try && !spared,
             }
         });
         let seconds = self.cost(class);
@@ -538,10 +547,10 @@
             }
         }
         let o = self.open.get_mut(&id).expect("looked up above");
-        let out = Out { attempt: o.attempts, member, source, sent: now, cancelled: None, stale_try };
-        o.out.push(out);
+        o.out.push(Out { attempt: o.attempts, member, source, sent: now, cancelled: None, stale_try });
         o.attempts += 1;
         o.stale_tried |= stale_try;
+        o.spared |= spared;
         act.push(Action::Send { request: id, member, timeout, fetch });
     }
 
@@ -559,6 +568,7 @@
         }
         let full = e.status == Status::Full || e.note == Note::NoFillPlace;
         o.fulls += full as u32;
+        o.spared |= e.note == Note::OriginFailed;
         let (done, class, kb, key) =
             (o.done || e.closed, o.req.class, o.req.kb, (o.req.object, o.req.part));
         let told = e.kb.or(kb).filter(|_| self.set.stream_kb_per_s > 0.0);
@@ -581,9 +591,8 @@
         }
         if e.status == Status::Ok {
             self.remember(key, out.member);
-            if matches!(e.note, Note::Hit | Note::Old | Note::Untold)
-                && !self.set.classes[class].uncacheable
-            {
+            let held = matches!(e.note, Note::Hit | Note::Old | Note::Untold);
+            if held && !self.set.classes[class].uncacheable {
                 let pace = (e.elapsed.max(1) as f64 / 1e6 / seconds.max(1e-6)).ln();
                 self.pace += MEAN_STEP * (pace - self.pace);
                 if let Some(m) = self.members.get_mut(&out.member) {
@@ -598,27 +607,35 @@
             match told {
                 _ if kb.is_some() => {}
                 Some(_) => self.learn(class, seconds),
-                None if !quick || self.sizes_told => {}
-                None if !matches!(e.note, Note::Hit | Note::Old | Note::Untold) => {}
+                None if !held || !quick || self.sizes_told => {}
                 None => self.learn(class, e.elapsed as f64 / 1e6),
             }
         }
         let size = seconds * if told.is_some() { 1.0 } else { UNTOLD_SIZE };
-        let class_aim =
-            self.set.classes[class].aim as f64 + self.set.classes[class].aim_stretch * 1e6 * size;
-        let late = e.elapsed as f64 > class_aim || e.status == Status::Full;
-        // No answer says nothing of how fast answers are; where all are slow, those that come say so.
-        if !unsent && !matches!(e.status, Status::Miss | Status::Cancelled | Status::Timeout) {
-            self.adapt(out.member, late);
+        let c = &self.set.classes[class];
+        let late = e.elapsed as f64 > c.aim as f64 + c.aim_stretch * 1e6 * size || e.status == Status::Full;
+        // Who is late: of a fill by the origin that, of another the location's link, else the cache. No
+        // answer says nothing of how fast answers are; where all are slow, those that come say so.
+        match (e.status, e.note) {
+            (Status::Miss | Status::Cancelled | Status::Timeout, _) => {}
+            _ if unsent => {}
+            (Status::Ok, Note::FilledByOrigin) | (_, Note::OriginFailed) if source.is_some() => {
+                let step = if late { 1.0 - ORIGIN_STEP } else { 1.0 + ORIGIN_STEP };
+                self.origin_part = (self.origin_part * step).clamp(ORIGIN_LEAST, 1.0);
+            }
+            (Status::Ok, Note::Filled | Note::Joined) => {
+                self.link = adapted(self.link, late, LIMIT_LEAST, LIMIT_MOST);
+            }
+            _ => {
+                let sharing = self.sharing;
+                self.members.get_mut(&out.member).into_iter().for_each(|m| m.adapt(late, sharing));
+            }
         }
         let blame = self.judge(now, &e, &out, source);
         if done {
             return self.close(e.request, act);
         }
-        let Some(o) = self.open.get_mut(&e.request) else { return };
-        if !o.out.is_empty() {
-            return;
-        }
+        let Some(o) = self.open.get_mut(&e.request).filter(|o| o.out.is_empty()) else { return };
         match blame {
             Blame::Nobody => {}
             Blame::Cache => o.avoid.push(out.member),
@@ -636,23 +653,12 @@
         if stale && !o.stale_tried && o.attempts < self.set.max_attempts && now + TICK < o.deadline {
             let usable = self.members.get(&out.member).is_some_and(|m| self.may_send(now, m, class));
             if usable {
-                return self.send(now, e.request, out.member, Some(out.member), true, act);
+                return self.send(now, e.request, (out.member, Some(out.member)), act);
             }
         }
         self.go_on(now, e.request, act);
     }
 
-    /// Late answers at a cache, whatever slows it (itself, its source, the link in): fewer at once.
-    fn adapt(&mut self, id: MemberId, late: bool) {
-        let Some(m) = self.members.get_mut(&id) else { return };
-        let w = m.entry.weight;
-        if late {
-            m.limit = (m.limit * (1.0 - LIMIT_DOWN)).max(LIMIT_LEAST * w);
-        } else if m.out as f64 + 1.0 > m.limit / self.sharing / 2.0 {
-            m.limit = (m.limit * (1.0 + LIMIT_UP)).min(LIMIT_MOST * w);
-        }
-    }
-
     fn learn(&mut self, class: usize, seconds: f64) {
         self.learned[class] += 1;
         let step = MEAN_STEP.max(1.0 / (MEAN_GUESS + self.learned[class] as f64));
@@ -967,7 +973,8 @@
         let stretch = self.stretch(&o.req);
         // The limits hold for the location as a whole: at one cache a router of many has room for chance.
         let busy = |m: &Member| m.out.saturating_sub(m.looks) as f64;
-        let whole = order.iter().map(|m| m.limit).sum::<f64>() * stretch / self.sharing;
+        let sum = |of: fn(&Member) -> f64| order.iter().map(|m| of(m)).sum::<f64>();
+        let whole = sum(|m| m.limit).min(self.link * sum(|m| m.entry.weight)) * stretch / self.sharing;
         let spare = order.iter().map(|m| busy(m)).sum::<f64>() < whole.max(1.0);
         let room = |m: &&Member| busy(m) < part(m.limit * stretch, self.sharing);
         let open: Vec<&Member> = order.iter().filter(|m| spare && room(m)).copied().collect();
@@ -977,15 +984,15 @@
             let held = self.seen.iter().find_map(|s| s.get(&(o.req.object, o.req.part)));
             let held = held.copied().filter(|id| order.iter().any(|m| m.entry.id == *id));
             let home = held.or_else(|| self.pick(copy_key(&o.req), &order, |_| (0, 0.0)));
-            return home.filter(|_| !o.stale_tried).map_or(Choice::Refuse, Choice::Look);
+            return home.filter(|_| !o.stale_tried).map_or(Choice::Refuse, |m| Choice::Send((m, Some(m))));
         };
         let source = self.holder(now, o, cache).or_else(|| self.choose_source(now, o));
-        // While the origin fails, one source is asked for what it holds, then the cache: no miss adds to it,
-        // and what can only run there keeps its place.
-        match source.filter(|_| o.avoid.is_empty() || self.origin_well(now)) {
-            Some(source) => Choice::Send(cache, Some(source)),
-            None if o.stale_tried => Choice::Refuse,
-            None => Choice::Look(cache),
+        // While the origin fails, one source is asked for what it holds: no miss adds to it, and what can
+        // only run there keeps its place.
+        match source.filter(|_| !o.spared) {
+            Some(source) => Choice::Send((cache, Some(source))),
+            None if o.stale_tried || o.spared => Choice::Refuse,
+            None => Choice::Send((cache, Some(cache))),
         }
     }
 
@@ -1007,12 +1014,7 @@
     }
 
     /// Rendezvous order of the copy, skipping members over the bound; all over it: the least loaded.
-    fn pick(
-        &self,
-        object: u64,
-        from: &[&Member],
-        load: impl Fn(&Member) -> (u32, f64),
-    ) -> Option<MemberId> {
+    fn pick(&self, object: u64, from: &[&Member], load: fn(&Member) -> (u32, f64)) -> Option<MemberId> {
         let total: f64 = from.iter().map(|m| self.weight(m)).sum();
         let under_way: f64 = from.iter().map(|m| load(m).1).sum();
         let within = |m: &&&Member| {
@@ -1041,20 +1043,21 @@
             // A parent that is its own source fills from nowhere.
             let listed =
                 self.members.values().find(|m| self.is_origin(m) && self.may_send(now, m, o.req.class));
-            let parent = parent.map(|p| Choice::Send(p, Some(listed.map_or(p, |m| m.entry.id))));
-            return origin.map(|m| Choice::Send(m, None)).or(parent).unwrap_or(Choice::Wait);
+            let parent = parent.map(|p| Choice::Send((p, Some(listed.map_or(p, |m| m.entry.id)))));
+            return origin.map(|m| Choice::Send((m, None))).or(parent).unwrap_or(Choice::Wait);
         }
         match (fit(self.able(now, o, |m| self.is_cache(m))), origin.or(parent)) {
-            (Some(cache), Some(source)) => Choice::Send(cache, Some(source)),
+            (Some(cache), Some(source)) => Choice::Send((cache, Some(source))),
             _ => Choice::Wait,
         }
     }
 }
 
+/// To whom, and the source. A cache that is its own source is looked at: what it holds, within the grace.
+type Way = (MemberId, Option<MemberId>);
+
 enum Choice {
-    Send(MemberId, Option<MemberId>),
-    /// Ask for what it holds only, within the grace.
-    Look(MemberId),
+    Send(Way),
     /// Nobody to send to now.
     Wait,
     Refuse,
