Each source gets the part of fills it answers in time, and trials of one not reached add up

Checked: by parent and second; 'Full/SourceUnreachable el=401' is a parent not reached, 'Error/SourceUnreachable el=46' one that breaks off. Ruled out: told cold budgets (the falls came before the list told), cold caches (4% of refusals). At fault: Router::bad (hold-offs of all routers in step, 4 s at most, however many there are), Router::choose_source (the origin only after all parents). Change: a hold of a member that cannot be reached is at least so long that the trials of all routers fit its cold budget, each hold with a quarter of it up or down by dice; the part of fills that a source is sent is drawn, by its own answers, for parents as for the origin; what a parent's part leaves out goes to the origin while its part allows. A refusal by a source no longer lowers its cache's limit.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,4 @@
 //! Every decision of the router. Settings, events and actions are in `src/interface.rs`.
-//!
 //! Reading order: constants, state, events (membership, request, outcome, timer, purge), choosing.
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -14,15 +13,13 @@
 const BOUND: f64 = 1.25;
 /// ... but below this many requests for each unit of weight nothing is skipped: its link is not full yet.
 const BOUND_FLOOR: f64 = 1.0;
-/// One router of many sees a thin, uneven part of a member's load: so many standard deviations over its even
-/// share may be chance and cost nothing.
+/// One router of many sees a thin part of a member's load: so many standard deviations may be chance.
 const CHANCE: f64 = 2.0;
 /// Requests that a cache takes at once for each unit of weight: at first, at least, at most.
 const LIMIT_FIRST: f64 = 2.0;
 const LIMIT_LEAST: f64 = 0.5;
 const LIMIT_MOST: f64 = 4.0;
-/// An answer in time from a busy cache raises its limit by this share, a late or missing one lowers it: in
-/// balance about one answer in eleven is late.
+/// An answer in time raises a limit by this share, a late one lowers it: balanced at one late in eleven.
 const LIMIT_UP: f64 = 0.02;
 const LIMIT_DOWN: f64 = 0.2;
 /// Looks at held copies that a full cache takes besides, for each unit of weight.
@@ -67,10 +64,10 @@
 const PACE_SLOW: f64 = 2.0;
 /// Share by which one answer moves a class's mean sending time, and the location's usual pace.
 const MEAN_STEP: f64 = 0.02;
-/// A fill that the origin answers in time raises the share of fills that may go there by this much, one late
-/// or turned away lowers it; balanced at a third bad. The least share finds out when the origin is well.
-const ORIGIN_STEP: f64 = 0.5;
-const ORIGIN_LEAST: f64 = 0.04;
+/// A fill that a parent or the origin answers in time raises the part of the fills that go there by this, one
+/// late or turned away lowers it: balanced at a third bad. The least part finds out when it is well.
+const PART_STEP: f64 = 0.5;
+const PART_LEAST: f64 = 0.04;
 /// The first guess of a class's mean (its aim) counts like so many answers.
 const MEAN_GUESS: f64 = 5.0;
 /// Where sizes are untold the mean is of quick answers: a cold member's budget is charged this much more.
@@ -124,8 +121,9 @@
     out_kb: f64,
     /// ... of these, looks at what it holds.
     looks: u32,
-    /// Requests under way that name it as the source.
+    /// Requests under way that name it as the source, and the share of those bound for it that go there.
     fills: u32,
+    part: f64,
     presence: Presence,
     /// Requests it may have under way before new ones go elsewhere or are refused.
     limit: f64,
@@ -190,9 +188,8 @@
     /// The share of its part of cold budgets that it takes: none while routers may count themselves unlike.
     cold_part: f64,
     sizes_told: bool,
-    /// The limit that fills set for all caches, by weight; the share of fills that may go to the origin.
+    /// The limit that fills set for all caches, by weight.
     link: f64,
-    origin_part: f64,
     /// Worth asked for a second of sending time, lately: both as running means.
     asked: (f64, f64),
     object_purges: BTreeMap<ObjectId, Micros>,
@@ -226,16 +223,6 @@
     even + CHANCE * (even * (1.0 - 1.0 / sharing)).sqrt()
 }
 
-impl Member {
-    /// Late answers, whatever slows it: fewer at once.
-    fn adapt(&mut self, late: bool, sharing: f64) {
-        let w = self.entry.weight;
-        if late || self.out as f64 + 1.0 > self.limit / sharing / 2.0 {
-            self.limit = adapted(self.limit, late, LIMIT_LEAST * w, LIMIT_MOST * w);
-        }
-    }
-}
-
 fn adapted(limit: f64, late: bool, least: f64, most: f64) -> f64 {
     (limit * if late { 1.0 - LIMIT_DOWN } else { 1.0 + LIMIT_UP }).clamp(least, most)
 }
@@ -264,23 +251,19 @@
 
     /// Since when another process is there than before, as far as it was seen. Without one: not yet.
     fn started(&self, now: Micros) -> Micros {
-        let down = self.refused.is_some_and(|(first, last)| last >= first + DOWN_LEAST);
-        if down {
-            now
-        } else {
-            self.back.map_or(0, |b| b.1)
+        if self.refused.is_some_and(|(first, last)| last >= first + DOWN_LEAST) {
+            return now;
         }
+        self.back.map_or(0, |b| b.1)
     }
 }
 
 impl Router {
     /// A router that knows nothing yet but its settings. The seed spreads timers and draws.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let told = |routers: u32| routers as u64;
-        let routers =
-            settings.zones.iter().map(|z| told(z.routers)).sum::<u64>().max(told(settings.routers));
-        let routers = routers.max(settings.me.map_or(0, told) + 1);
-        let here = settings.zones.get(settings.zone).map_or(0, |z| told(z.routers));
+        let all = settings.zones.iter().map(|z| u64::from(z.routers)).sum::<u64>();
+        let routers = all.max(settings.routers.into()).max(settings.me.map_or(0, u64::from) + 1);
+        let here = settings.zones.get(settings.zone).map_or(0, |z| u64::from(z.routers));
         let mean: Vec<f64> = settings.classes.iter().map(|c| c.aim as f64 / 1e6).collect();
         Self {
             rng: seed,
@@ -291,7 +274,6 @@
             ticking: false,
             sizes_told: false,
             link: LIMIT_MOST,
-            origin_part: 1.0,
             // Counts that are missing or contradict each other: the largest is the safe one.
             sharing: if here > 0 { here } else { routers } as f64,
             routers,
@@ -363,9 +345,8 @@
                     m.entry = entry;
                 }
                 None => {
-                    let limit = LIMIT_FIRST * entry.weight;
-                    let m = Member { entry, limit, ..Member::default() };
-                    self.members.insert(m.entry.id, m);
+                    let (id, limit) = (entry.id, LIMIT_FIRST * entry.weight);
+                    self.members.insert(id, Member { entry, limit, part: 1.0, ..Member::default() });
                 }
             }
         }
@@ -381,9 +362,8 @@
         }
     }
 
-    /// Every choice looks at each member, so those of past deploys would make requests dearer for ever. One
-    /// that an open request has out, was filled from, or may have run at is kept: its zone and cell bound a
-    /// resend.
+    /// Every choice looks at each member: those of past deploys go. One that an open request has out, was
+    /// filled from, or may have run at is kept: its zone and cell bound a resend.
     fn forget_gone(&mut self, now: Micros) {
         for m in self.members.values_mut() {
             let since = m.gone.unwrap_or(now);
@@ -429,15 +409,12 @@
     /// Makes the next attempt of a request with nothing under way, parks it, or ends it.
     fn go_on(&mut self, now: Micros, id: RequestId, act: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        let may_resend = self.may_resend(now, o);
-        if o.attempts >= self.set.max_attempts || !may_resend || now + TICK >= o.deadline {
+        if o.attempts >= self.set.max_attempts || !self.may_resend(now, o) || now + TICK >= o.deadline {
             return self.finish(id, act);
         }
         match if now < o.not_before { Choice::Wait } else { self.choose(now, o) } {
             Choice::Send(way) => self.send(now, id, way, act),
-            Choice::Wait => {
-                self.parked.insert(id);
-            }
+            Choice::Wait => _ = self.parked.insert(id),
             Choice::Refuse => self.finish(id, act),
         }
     }
@@ -473,11 +450,8 @@
             _ => o.ran.is_none() && o.out.is_empty(),
         };
         let retry_after = self.set.retry_after.then_some(HOLD_OFF.min(self.set.max_retry_after));
-        act.push(if harmless {
-            Action::Refuse { request: id, retry_after }
-        } else {
-            Action::Fail { request: id }
-        });
+        let refused = Action::Refuse { request: id, retry_after };
+        act.push(if harmless { refused } else { Action::Fail { request: id } });
         self.close(id, act);
     }
 
@@ -496,17 +470,28 @@
     }
 
     fn send(&mut self, now: Micros, id: RequestId, (member, source): Way, act: &mut Vec<Action>) {
-        // What a parent lacks is the origin's work: drawn for each fill, so that the shares of all add up.
-        let draw = (self.roll() >> 11) as f64 / (1_u64 << 53) as f64;
-        let spared = draw >= self.origin_part || !self.origin_well(now);
+        // Drawn for each fill, so that the parts of all routers add up.
+        let origin = self.origin();
+        let mut past = |id: Option<MemberId>| {
+            let draw = (self.roll() >> 11) as f64 / (1_u64 << 53) as f64;
+            id.and_then(|id| self.members.get(&id)).is_some_and(|m| draw >= m.part || !self.healthy(now, m))
+        };
+        let (full, spared) = (past(source), past(origin));
         self.parked.remove(&id);
         let Some(o) = self.open.get(&id) else { return };
         let (class, kb) = (o.req.class, o.req.kb.unwrap_or(1.0));
         let purge_limit = self.purge_limit(now, &o.req);
         let c = &self.set.classes[class];
         let above = source.and_then(|s| self.members.get(&s)).is_some_and(|m| !self.is_cache(m));
-        let spared = spared && above && !c.uncacheable;
-        let source = source.map(|s| if spared && Some(s) == self.origin() { member } else { s });
+        let above = above && !c.uncacheable;
+        let (full, spared) = (full && above, spared && above);
+        // The origin in place of a parent that is full; of an origin that is, the parent's copies or none.
+        let origin_open = origin.filter(|id| self.may_send(now, &self.members[id], class));
+        let source = match source {
+            Some(_) if spared && source == origin => Some(member),
+            Some(_) if full && !spared && origin_open.is_some() => origin,
+            _ => source,
+        };
         let stale_try = source == Some(member) && !c.uncacheable;
         let fetch = source.map(|source| {
             let failed_at = self.members.get(&source).and_then(|m| m.health.failed_at);
@@ -524,12 +509,11 @@
                 age,
                 // A fill begun before a purge would hand on the purged copy.
                 join: self.set.joins && purge_limit.is_none() && !c.uncacheable,
-                held_only: spared,
+                held_only: spared && !stale_try,
                 renew: c.fresh > 0 && !stale_try && !spared,
             }
         });
         let seconds = self.cost(class);
-        let timeout = o.deadline - now;
         let window = self.set.cold_cache.window.max(self.set.cold_parent.window);
         for (target, is_source) in [(Some(member), false), (source.filter(|s| *s != member), true)] {
             let Some(m) = target.and_then(|t| self.members.get_mut(&t)) else { continue };
@@ -551,7 +535,7 @@
         o.attempts += 1;
         o.stale_tried |= stale_try;
         o.spared |= spared;
-        act.push(Action::Send { request: id, member, timeout, fetch });
+        act.push(Action::Send { request: id, member, timeout: o.deadline - now, fetch });
     }
 
     // ---- outcome
@@ -561,8 +545,7 @@
         let Some(place) = o.out.iter().position(|out| out.attempt == e.attempt) else { return };
         let out = o.out.swap_remove(place);
         let unsent = matches!(e.status, Status::ConnectFailed | Status::Moot);
-        let proves_idle =
-            matches!(e.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss);
+        let proves_idle = unsent || matches!(e.status, Status::Full | Status::Miss);
         if !proves_idle && o.ran.is_none() {
             o.ran = Some((out.sent, out.member));
         }
@@ -599,10 +582,8 @@
                     m.health.pace += PACE_STEP * (pace - m.health.pace);
                 }
             }
-            // An answer that tells its size is learned from. Else quick ones only: slow ones would raise
-            // the mean and with it what counts as late. They leave the large objects out, so not where
-            // other requests tell their sizes: a cold member's budget would be charged too little (one door
-            // of two tells none).
+            // Told sizes are learned from, else quick hits: slow ones would raise what counts as late. They
+            // leave large objects out, so not where others tell sizes: cold budgets would come out high.
             let quick = e.elapsed <= self.set.classes[class].aim;
             match told {
                 _ if kb.is_some() => {}
@@ -617,18 +598,25 @@
         // Who is late: of a fill by the origin that, of another the location's link, else the cache. No
         // answer says nothing of how fast answers are; where all are slow, those that come say so.
         match (e.status, e.note) {
-            (Status::Miss | Status::Cancelled | Status::Timeout, _) => {}
-            _ if unsent => {}
+            (
+                Status::Miss | Status::Cancelled | Status::Timeout | Status::ConnectFailed | Status::Moot,
+                _,
+            ) => {}
             (Status::Ok, Note::FilledByOrigin) | (_, Note::OriginFailed) if source.is_some() => {
-                let step = if late { 1.0 - ORIGIN_STEP } else { 1.0 + ORIGIN_STEP };
-                self.origin_part = (self.origin_part * step).clamp(ORIGIN_LEAST, 1.0);
+                self.share(self.origin(), late);
             }
+            (_, Note::SourceRefused) => self.share(source, true),
             (Status::Ok, Note::Filled | Note::Joined) => {
                 self.link = adapted(self.link, late, LIMIT_LEAST, LIMIT_MOST);
+                self.share(source, late);
             }
             _ => {
-                let sharing = self.sharing;
-                self.members.get_mut(&out.member).into_iter().for_each(|m| m.adapt(late, sharing));
+                if let Some(m) = self.members.get_mut(&out.member) {
+                    let w = m.entry.weight;
+                    if late || m.out as f64 + 1.0 > m.limit / self.sharing / 2.0 {
+                        m.limit = adapted(m.limit, late, LIMIT_LEAST * w, LIMIT_MOST * w);
+                    }
+                }
             }
         }
         let blame = self.judge(now, &e, &out, source);
@@ -636,10 +624,8 @@
             return self.close(e.request, act);
         }
         let Some(o) = self.open.get_mut(&e.request).filter(|o| o.out.is_empty()) else { return };
-        match blame {
-            Blame::Nobody => {}
-            Blame::Cache => o.avoid.push(out.member),
-            Blame::Source => o.avoid.push(source.unwrap_or(out.member)),
+        if blame != Blame::Nobody {
+            o.avoid.push(source.filter(|_| blame == Blame::Source).unwrap_or(out.member));
         }
         if self.set.classes[class].uncacheable && (full || blame != Blame::Nobody && o.attempts > 1) {
             o.not_before = now + (BACK_OFF << o.fulls.min(6));
@@ -659,6 +645,12 @@
         self.go_on(now, e.request, act);
     }
 
+    fn share(&mut self, id: Option<MemberId>, late: bool) {
+        let Some(m) = id.and_then(|id| self.members.get_mut(&id)) else { return };
+        let step = if late { 1.0 - PART_STEP } else { 1.0 + PART_STEP };
+        m.part = (m.part * step).clamp(PART_LEAST, 1.0);
+    }
+
     fn learn(&mut self, class: usize, seconds: f64) {
         self.learned[class] += 1;
         let step = MEAN_STEP.max(1.0 / (MEAN_GUESS + self.learned[class] as f64));
@@ -685,10 +677,8 @@
                 self.good(out.member, MARK_STEP);
                 match (note, source) {
                     (Note::Filled | Note::FilledByOrigin, Some(s)) => {
-                        self.good(s, MARK_STEP);
-                        if let Some(origin) = self.origin().filter(|_| note == Note::FilledByOrigin) {
-                            self.good(origin, MARK_STEP);
-                        }
+                        let origin = self.origin().filter(|_| note == Note::FilledByOrigin);
+                        origin.into_iter().chain([s]).for_each(|id| self.good(id, MARK_STEP));
                     }
                     // Untold, most answers are hits and say little of the source.
                     (Note::Untold, Some(s)) => self.good(s, MARK_STEP / 4.0),
@@ -701,7 +691,9 @@
             (_, Note::SourceRefused | Note::SourceUnreachable | Note::OriginFailed) => {
                 let origin = self.origin().filter(|_| e.note == Note::OriginFailed);
                 if let Some(s) = origin.or(source) {
-                    let least = if e.note == Note::SourceUnreachable { MARK_HARD } else { 0.0 };
+                    // Not reached is as good as gone; one that broke off is there.
+                    let unreached = if error { MARK_HOLD } else { MARK_HARD };
+                    let least = if e.note == Note::SourceUnreachable { unreached } else { 0.0 };
                     self.bad(now, s, least, MARK_STEP);
                     self.members.entry(s).and_modify(|m| m.health.failed_at = Some(now));
                 }
@@ -754,16 +746,17 @@
 
     /// Moves the failure mark, at least to `least`; over the line the member is held off, longer each time.
     fn bad(&mut self, now: Micros, id: MemberId, least: f64, step: f64) {
+        let (gap, dice) = (self.members.get(&id).map_or(0, |m| self.trial_gap(m)), self.roll());
         let Some(m) = self.members.get_mut(&id) else { return };
         m.health.mark = (m.health.mark * (1.0 - step) + step).max(least);
         if m.health.mark >= MARK_HOLD && now >= m.health.held_until {
-            m.health.held_until = now + (HOLD_FIRST << m.health.holds.min(8)).min(HOLD_LONGEST);
+            let longer = if least >= MARK_HARD && m.health.holds > 0 { gap } else { 0 };
+            let hold = (HOLD_FIRST << m.health.holds.min(8)).min(HOLD_LONGEST).max(longer);
+            m.health.held_until = now + hold - hold / 4 + dice % (hold / 2);
             m.health.holds += 1;
         }
     }
 
-    // ---- timer
-
     fn on_timer(&mut self, now: Micros, act: &mut Vec<Action>) {
         self.ticking = false;
         self.find_silent(now, act);
@@ -803,8 +796,6 @@
         }
     }
 
-    // ---- purge
-
     fn on_purge(&mut self, now: Micros, object: Option<ObjectId>, group: u64, age: Micros) {
         let at = now.saturating_sub(age);
         let kept = self.set.purge_done + PURGE_MARGIN;
@@ -832,11 +823,6 @@
         self.members.values().find(|m| self.is_origin(m)).map(|m| m.entry.id)
     }
 
-    /// Not held off: failures behind parents count as well.
-    fn origin_well(&self, now: Micros) -> bool {
-        self.origin().and_then(|id| self.members.get(&id)).is_none_or(|m| self.healthy(now, m))
-    }
-
     fn is_origin(&self, m: &Member) -> bool {
         Some(m.entry.kind) == self.set.origin_kind
     }
@@ -899,7 +885,7 @@
     /// A router that has just started knows nothing of its last window.
     fn cold_room(&self, now: Micros, m: &Member, class: usize) -> bool {
         let parent = self.is_parent(m);
-        let rule = if parent { &self.set.cold_parent } else { &self.set.cold_cache };
+        let (rule, mut sharing) = self.cold_rule(m);
         let seen = m.presence.started(now);
         // Silence may have been a pause: else the list tells soon. What it told before still holds.
         let pause = m.presence.unsure && now >= seen + UNSURE * rule.window;
@@ -918,26 +904,40 @@
         let from = now.saturating_sub(rule.window);
         let warm = from.saturating_sub(started) as f64 / rule.warm_within.max(1) as f64;
         let share = self.cold_part * (rule.start_share + (1.0 - rule.start_share) * warm.min(1.0));
-        let mut budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
+        let budget = COLD_SHARE * rule.multiple * share * m.entry.weight * rule.window as f64 / 1e6;
         if parent {
             let dearest = (0..self.mean.len()).map(|c| self.cost(c)).fold(0.0, f64::max);
             let some = ((budget / dearest.max(1e-6)) as u64).clamp(1, self.routers);
-            let turn = self
-                .set
-                .me
-                .map_or(self.routers, |me| (me as u64 + m.entry.id.0 % self.routers) % self.routers);
+            let place = |me: u32| (me as u64 + m.entry.id.0 % self.routers) % self.routers;
+            let turn = self.set.me.map_or(self.routers, place);
             if turn >= some && some < self.routers {
                 return false;
             }
-            budget /= some as f64;
-        } else {
-            budget /= self.sharing;
+            sharing = some as f64;
         }
         let spent: f64 = m.spent.iter().rev().take_while(|s| s.0 > from).map(|s| s.2).sum();
-        spent + self.cost(class) <= budget
+        spent + self.cost(class) <= budget / sharing
+    }
+
+    /// A router's trials of a member that cannot be reached are so far apart that those of all together are
+    /// within its cold budget: it may come back cold, and they learn of it from nobody.
+    fn trial_gap(&self, m: &Member) -> Micros {
+        let (rule, many) = self.cold_rule(m);
+        let budget = COLD_SHARE * rule.multiple * rule.start_share * m.entry.weight;
+        let mean = self.mean.iter().sum::<f64>() / self.mean.len() as f64;
+        (many * self.asked.1.max(mean) / budget.max(1e-6) * 1e6) as Micros
+    }
+
+    /// The rule that holds while it is cold, and how many routers share its budget.
+    fn cold_rule(&self, m: &Member) -> (&ColdRule, f64) {
+        let parent = (&self.set.cold_parent, self.routers as f64);
+        if self.is_parent(m) {
+            parent
+        } else {
+            (&self.set.cold_cache, self.sharing)
+        }
     }
 
-    /// What one request costs a cold member.
     fn cost(&self, class: usize) -> f64 {
         self.mean[class] * if self.sizes_told { 1.0 } else { UNTOLD_COST }
     }
@@ -1058,7 +1058,6 @@
 
 enum Choice {
     Send(Way),
-    /// Nobody to send to now.
     Wait,
     Refuse,
 }
