--- a/tests/design.rs
+++ b/tests/design.rs
@@ -430,34 +430,6 @@
     assert!(told > untold, "{told} where sizes are told, {untold} where not");
 }
 
-/// A jam of the origin keeps itself up: what it answers late is asked for again, by everybody. Shares of many routers,
-/// summed: nearly nothing goes on to it while answers are late, all of it soon after it is well, and one bad answer in
-/// five moves little.
-#[test]
-fn fills_for_a_jammed_origin_fall_for_the_sum_of_routers_and_come_back() {
-    let mut routers: Vec<Stage> = (0..30).map(|seed| Stage::seeded(seed, settings(), fleet())).collect();
-    let mut round = |name: &str, answers: usize, bad: fn(usize) -> bool| {
-        let mut passed = vec![0; answers];
-        for (r, s) in routers.iter_mut().enumerate() {
-            for (i, passed) in passed.iter_mut().enumerate() {
-                let sent = s.ask(VIDEO, &format!("{name}-{i}")).remove(0);
-                if sent.fetch().held_only {
-                    s.end(&sent, Status::Miss, Note::SourceLacks);
-                } else {
-                    *passed += 1;
-                    let elapsed = if bad(r + i) { 2 * S } else { 50 * MS };
-                    s.end_after(&sent, Status::Ok, Note::FilledByOrigin, elapsed);
-                }
-            }
-        }
-        passed.iter().rev().take(10).sum::<usize>()
-    };
-    let all = 10 * 30;
-    assert!(round("flaky", 60, |i| i % 5 == 0) > all / 2);
-    assert!(round("jam", 40, |_| true) < all / 10);
-    assert!(round("well", 150, |_| false) > all * 9 / 10);
-}
-
 /// Late fills are the link's or the origin's: hits go on as before, and only what may need a fill is refused.
 #[test]
 fn late_fills_leave_the_limits_of_caches_alone() {
--- /dev/null
+++ b/tests/sums.rs
@@ -0,0 +1,101 @@
+//! What many routers do together: each decides alone, the sum is held against what a member can bear.
+mod common;
+use common::*;
+use pointspindle::*;
+
+/// A jam of the origin keeps itself up: what it answers late is asked for again, by everybody. Shares of many routers,
+/// summed: nearly nothing goes on to it while answers are late, all of it soon after it is well, and one bad answer in
+/// five moves little.
+#[test]
+fn fills_for_a_jammed_origin_fall_for_the_sum_of_routers_and_come_back() {
+    let mut routers: Vec<Stage> = (0..30).map(|seed| Stage::seeded(seed, settings(), fleet())).collect();
+    let mut round = |name: &str, answers: usize, bad: fn(usize) -> bool| {
+        let mut passed = vec![0; answers];
+        for (r, s) in routers.iter_mut().enumerate() {
+            for (i, passed) in passed.iter_mut().enumerate() {
+                let sent = s.ask(VIDEO, &format!("{name}-{i}")).remove(0);
+                if sent.fetch().held_only {
+                    s.end(&sent, Status::Miss, Note::SourceLacks);
+                } else {
+                    *passed += 1;
+                    let elapsed = if bad(r + i) { 2 * S } else { 50 * MS };
+                    s.end_after(&sent, Status::Ok, Note::FilledByOrigin, elapsed);
+                }
+            }
+        }
+        passed.iter().rev().take(10).sum::<usize>()
+    };
+    let all = 10 * 30;
+    assert!(round("flaky", 60, |i| i % 5 == 0) > all / 2);
+    assert!(round("jam", 40, |_| true) < all / 10);
+    assert!(round("well", 150, |_| false) > all * 9 / 10);
+}
+
+/// What a parent answers late is asked of the origin, by as many as it answers in time, and comes back.
+#[test]
+fn fills_leave_a_parent_that_is_late_for_the_origin_and_come_back() {
+    let only = vec![entry("c1", 0), entry("p1", 1), entry("origin", 2)];
+    let mut routers: Vec<Stage> =
+        (0..30).map(|seed| Stage::seeded(seed, settings(), only.clone())).collect();
+    let mut round = |name: &str, answers: usize, late: bool| {
+        let mut straight = 0;
+        for s in &mut routers {
+            for i in 0..answers {
+                let sent = s.ask(VIDEO, &format!("{name}-{i}")).remove(0);
+                if sent.source() == MemberId::named("origin") {
+                    straight += (i >= answers - 10) as usize;
+                    s.end(&sent, Status::Ok, Note::FilledByOrigin);
+                } else if sent.source() == MemberId::named("p1") {
+                    let elapsed = if late { 2 * S } else { 50 * MS };
+                    s.end_after(&sent, Status::Ok, Note::Filled, elapsed);
+                } else {
+                    s.end(&sent, Status::Miss, Note::Untold);
+                }
+            }
+        }
+        straight
+    };
+    let all = 30 * 10;
+    assert_eq!(round("well", 20, false), 0);
+    assert!(round("late", 30, true) > all * 8 / 10);
+    assert!(round("again", 300, false) < all / 10);
+}
+
+/// A parent goes, and nobody is told when a cold one is in its place: the trials of 300 routers in any two seconds have
+/// to be within what that one bears, though each has waited for it as long as the others.
+#[test]
+fn trials_of_a_parent_that_is_gone_add_up_to_less_than_a_cold_one_bears() {
+    let told =
+        Settings { routers: 300, zones: vec![Zone { routers: 0 }, Zone { routers: 6 }], ..settings() };
+    let seeded = |me: u32| Stage::seeded(me.into(), Settings { me: Some(me), ..told.clone() }, fleet());
+    let mut routers: Vec<Stage> = (0..300).map(seeded).collect();
+    let gone = MemberId::named("p1");
+    let mut trials = Vec::new();
+    for half in 0..240 {
+        let mut now = 0;
+        for s in &mut routers {
+            s.now += S / 2;
+            for i in 0..4 {
+                let mut sent = s.ask(VIDEO, &format!("v{half}-{i}"));
+                while let Some(one) = sent.pop() {
+                    let lost = one.source() == gone;
+                    now += lost as u32;
+                    let (status, note) = (Status::Full, Note::SourceUnreachable);
+                    let (status, note) = if lost { (status, note) } else { (Status::Ok, Note::Filled) };
+                    sent = s.end(&one, status, note);
+                }
+            }
+        }
+        trials.push(now);
+    }
+    let rule = told.cold_parent;
+    let bears = rule.multiple * rule.start_share * 6.0 * rule.window as f64 / 1e6;
+    let seconds = 300.0 / told.stream_kb_per_s;
+    // The first ten seconds are spent on finding it gone.
+    let worst = trials[20..].windows(4).map(|w| w.iter().sum::<u32>()).max().expect("windows");
+    assert!(worst > 0, "somebody tries");
+    assert!(
+        worst as f64 * seconds <= bears,
+        "{worst} trials of {seconds} s in two seconds, {bears} s borne"
+    );
+}
