Stops, new configurations and refused clients: what has come is answered first

Cause, by reading: at a stop the door dropped what waited in its accept queue, and Line::read closed an idle connection without reading what had come; SIGHUP was dropped while stopping and where the file was half written; a client's eighth unusable request closed its connection with all that was open on it, and so did a half request beside good ones after two seconds; words to a client that does not read had no bound. Taken::known jumped over numbers that were never heard. A configuration that cannot be used is read again (20 ms to 1 s) until it can, also while stopping.

--- a/crates/platform-wire/src/requests.rs
+++ b/crates/platform-wire/src/requests.rs
@@ -89,6 +89,14 @@
         self.open.values().filter(|o| !matches!(o.stage, Stage::Running)).count()
     }
 
+    /// Drops those that are not whole; what still comes of them is skipped.
+    pub fn cut_halves(&mut self) -> Vec<u16> {
+        let halves = self.open.iter().filter(|(_, o)| !matches!(o.stage, Stage::Running));
+        let ids: Vec<u16> = halves.map(|(id, _)| *id).collect();
+        ids.iter().for_each(|id| self.over(*id));
+        ids
+    }
+
     /// Its answer is written, or was never owed.
     pub fn over(&mut self, id: u16) {
         self.open.remove(&id);
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,9 +5,14 @@
 use pointspindle_platform_wire::fastcgi;
 use pointspindle_wire::AnswerHead;
 use std::fmt::Write;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+/// Status of a refusal: trying again is harmless.
+pub(crate) const REFUSED: &str = "503 Service Unavailable";
+
 /// What a connection's writer is given.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
@@ -16,6 +21,22 @@
     pub over: Option<u16>,
 }
 
+/// The way to a connection's writer.
+#[derive(Clone, Debug)]
+pub(crate) struct Words {
+    pub out: mpsc::UnboundedSender<Outgoing>,
+    /// Those that are not written yet.
+    pub unread: Arc<AtomicUsize>,
+}
+
+impl Words {
+    /// False: the connection is over.
+    pub fn say(&self, outgoing: Outgoing) -> bool {
+        self.unread.fetch_add(1, Ordering::Relaxed);
+        self.out.send(outgoing).is_ok()
+    }
+}
+
 /// The last word on a request. `fields`: header lines, each with its end.
 pub(crate) fn last_word(id: u16, status: &str, fields: &str, body: Bytes) -> Outgoing {
     let head = format!(
@@ -34,7 +55,7 @@
 
 pub(crate) struct FrontClient {
     pub id: u16,
-    pub out: mpsc::UnboundedSender<Outgoing>,
+    pub out: Words,
     /// Cancelled by an abort, or with the connection.
     pub gone: CancellationToken,
     pub head: Option<AnswerHead>,
@@ -43,7 +64,7 @@
 
 impl FrontClient {
     fn say(&mut self, outgoing: Outgoing) -> Result<(), ClientGone> {
-        self.out.send(outgoing).map_err(|_| ClientGone)
+        self.out.say(outgoing).then_some(()).ok_or(ClientGone)
     }
 }
 
@@ -82,7 +103,7 @@
         if let Some(after) = after {
             let _ = write!(fields, "X-Throttle-Ms: {}\r\n", after.div_ceil(1_000));
         }
-        let _ = self.say(last_word(self.id, "503 Service Unavailable", &fields, Bytes::new()));
+        let _ = self.say(last_word(self.id, REFUSED, &fields, Bytes::new()));
     }
 
     async fn fail(&mut self) {
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -1,4 +1,9 @@
 //! Start, new configurations, stop.
+//!
+//! Owed at SIGTERM, and by whom: what is open, and what comes for [`STILL_COMING`] on open connections, on new ones and in
+//! the door's queue, is served as ever; then each connection answers what it has, refuses what still comes, and closes
+//! ([`crate::front`]). The process ends with the last of them, at the latest with the deadline of the last request.
+//! Lists, purges and new configurations are followed to the end: attempts are still made.
 use crate::board::{follow, lock, Taken};
 use crate::front::{accept, Front};
 use crate::settings::{Shape, ShapeError};
@@ -12,12 +17,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 /// Clients may come for some time after SIGTERM, by the platform's word up to 0.7 s; then a little for what is on its way.
 const STILL_COMING: Duration = Duration::from_millis(1_000);
+/// A configuration that cannot be used is read again after this at first, then twice as long each time: it may be half written.
+const READ_AGAIN: Duration = Duration::from_millis(20);
+const READ_AGAIN_MOST: Duration = Duration::from_secs(1);
 /// Time between two lines of figures in the log.
 const FIGURES: Duration = Duration::from_secs(10);
 
@@ -38,7 +46,7 @@
 /// Runs a dispatcher until SIGTERM, and returns once all that was taken is answered. `listen` goes before the file's own.
 pub async fn run(file: PathBuf, listen: Option<String>) -> Result<(), RunError> {
     let mut stop = signal(SignalKind::terminate())?;
-    let mut again = signal(SignalKind::hangup())?;
+    let again = signal(SignalKind::hangup())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let start = start::read(&file)?;
     let shape = Shape::new(&start);
@@ -67,6 +75,7 @@
     let taken = Arc::new(Mutex::new(taken));
     let (board, named) = watch::channel(start.board);
     helpers.spawn(follow(taken.clone(), named));
+    helpers.spawn(reload(file, again, taken.clone(), board));
 
     let l = &shape.edge.listen;
     let keeper = Keeper::new(Limits {
@@ -84,19 +93,9 @@
     let door = tokio::spawn(accept(listener, front, is_closing));
     tracing::info!(name = start.name, %address, last = lock(&taken).last(), "dispatcher listens");
 
-    loop {
-        tokio::select! {
-            _ = stop.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = again.recv() => match start::read(&file) {
-                Ok(new) => {
-                    tracing::info!(board = new.board, "configuration read again");
-                    lock(&taken).known(new.known);
-                    board.send_replace(new.board);
-                }
-                Err(e) => tracing::error!(error = %e, "the new configuration is not used; the old one stays"),
-            },
-        }
+    tokio::select! {
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
     }
     tracing::info!(open = desk.open_requests(), "stopping");
     // Whoever still comes is served; then the door is closed, and each connection with its last answer.
@@ -108,6 +107,32 @@
     Ok(())
 }
 
+/// A new configuration at each SIGHUP, as soon as it can be used.
+async fn reload(file: PathBuf, mut again: Signal, taken: Arc<Mutex<Taken>>, board: watch::Sender<String>) {
+    while again.recv().await.is_some() {
+        let mut pause = READ_AGAIN;
+        loop {
+            match start::read(&file) {
+                Ok(new) => {
+                    tracing::info!(board = new.board, "configuration read again");
+                    lock(&taken).known(new.known);
+                    board.send_replace(new.board);
+                    break;
+                }
+                Err(e) if pause == READ_AGAIN => {
+                    tracing::error!(error = %e, "the new configuration cannot be used yet; the old one stays");
+                }
+                Err(_) => {}
+            }
+            tokio::select! {
+                _ = again.recv() => {}
+                _ = tokio::time::sleep(pause) => {}
+            }
+            pause = (pause * 2).min(READ_AGAIN_MOST);
+        }
+    }
+}
+
 async fn figures(desk: Arc<PlatformDesk>) {
     loop {
         tokio::time::sleep(FIGURES).await;
