--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -1,6 +1,7 @@
 //! A small platform around one dispatcher: cache hosts by lines, a notice board, a FastCGI client; written from the
 //! protocol's description.
 use bytes::{Buf, BytesMut};
+use futures_util::stream::FuturesUnordered;
 use futures_util::StreamExt;
 use pointspindle_platform_wire::fastcgi::*;
 use std::collections::BTreeMap;
@@ -76,6 +77,127 @@
     }
 }
 
+/// A cache host whose every byte the test says.
+pub struct Held {
+    listener: TcpListener,
+    pub at: SocketAddr,
+}
+
+pub async fn held() -> Held {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    Held { listener, at }
+}
+
+impl Held {
+    pub async fn accept(&self) -> Peer {
+        let (socket, _) = timeout(PATIENCE, self.listener.accept()).await.expect("it connects").unwrap();
+        Peer { socket: BufReader::new(socket) }
+    }
+
+    /// The next PULL on any connection, with the connection.
+    pub async fn pull(&self, others: &mut Vec<Peer>) -> (String, Peer) {
+        let next = async {
+            loop {
+                let mut waiting = FuturesUnordered::new();
+                for (n, peer) in others.iter_mut().enumerate() {
+                    waiting.push(async move { (n, peer.line().await) });
+                }
+                tokio::select! {
+                    accepted = self.listener.accept() => {
+                        drop(waiting);
+                        others.push(Peer { socket: BufReader::new(accepted.unwrap().0) });
+                    }
+                    Some((n, line)) = waiting.next() => {
+                        drop(waiting);
+                        let mut peer = others.remove(n);
+                        match line {
+                            Some(line) if line.starts_with("PULL") => {
+                                peer.body(&line).await;
+                                return (line, peer);
+                            }
+                            Some(line) => {
+                                if let Some(tag) = line.strip_prefix("ECHO ") {
+                                    peer.say(format!("{tag} green - 0\r\n\r\n").as_bytes()).await;
+                                }
+                                others.push(peer);
+                            }
+                            None => {}
+                        }
+                    }
+                }
+            }
+        };
+        timeout(PATIENCE, next).await.expect("a PULL in time")
+    }
+}
+
+/// One connection of the dispatcher to a [`Held`] host.
+pub struct Peer {
+    pub socket: BufReader<TcpStream>,
+}
+
+impl Peer {
+    /// Safe to drop only before the first byte of a line: lines come whole in these tests.
+    async fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        match self.socket.read_line(&mut line).await {
+            Ok(1..) => Some(line.trim_end().to_owned()),
+            _ => None,
+        }
+    }
+
+    async fn body(&mut self, pull: &str) {
+        let length: usize = pull.rsplit(' ').next().unwrap().parse().unwrap();
+        self.socket.read_exact(&mut vec![0; length + 2]).await.unwrap();
+    }
+
+    pub async fn say(&mut self, bytes: &[u8]) {
+        self.socket.write_all(bytes).await.unwrap();
+    }
+
+    /// All that still comes until the dispatcher closes.
+    pub async fn rest(mut self) -> String {
+        let mut bytes = Vec::new();
+        let _ = timeout(PATIENCE, self.socket.read_to_end(&mut bytes)).await.expect("it closes");
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+pub fn id_of(pull: &str) -> &str {
+    pull.split(' ').nth(1).unwrap()
+}
+
+/// A cache host to which no connection comes up until it is released.
+pub struct Late {
+    listener: std::net::TcpListener,
+    fillers: Vec<TcpStream>,
+    pub at: SocketAddr,
+}
+
+/// Its queue is full: what else wants to connect is not answered, and tries again.
+pub async fn late() -> Late {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener: std::net::TcpListener = socket.into();
+    let at = listener.local_addr().unwrap();
+    let mut fillers = Vec::new();
+    while let Ok(Ok(filler)) = timeout(Duration::from_millis(300), TcpStream::connect(at)).await {
+        fillers.push(filler);
+    }
+    Late { listener, fillers, at }
+}
+
+impl Late {
+    pub fn release(self) -> Held {
+        drop(self.fillers);
+        self.listener.set_nonblocking(true).unwrap();
+        Held { listener: TcpListener::from_std(self.listener).unwrap(), at: self.at }
+    }
+}
+
 pub fn served(id: &str, body: &str) -> Vec<u8> {
     format!("{id} served rev=77aa,since=1764576000123,res=mem {}\r\n{body}\r\n", body.len()).into_bytes()
 }
@@ -181,10 +303,14 @@
         let file = folder.path().join("config.json");
         std::fs::write(&file, config(at)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_pointspindle"))
-            .arg("run")
+            .args(if std::env::var_os("SHOW").is_some() {
+                &["--log", "debug", "run"][..]
+            } else {
+                &["run"]
+            })
             .env("BALANCER_CONFIG", &file)
             .env("BALANCER_LISTEN", at.to_string())
-            .stderr(Stdio::null())
+            .stderr(if std::env::var_os("SHOW").is_some() { Stdio::inherit() } else { Stdio::null() })
             .spawn()
             .unwrap();
         let listening = async {
@@ -196,6 +322,19 @@
         Self { child, at, config: file, _folder: folder }
     }
 
+    /// As [`Self::start`], with something else in the configuration.
+    pub async fn start_with(board: SocketAddr, hosts: &[String], changes: &[(&str, &str)]) -> Self {
+        let changed = |at| {
+            changes.iter().fold(config(at, board, hosts), |text, (from, to)| {
+                assert!(text.contains(from), "{from}");
+                text.replace(from, to)
+            })
+        };
+        let started = Self::spawn(changed).await;
+        assert_eq!(started.alive().await, 200);
+        started
+    }
+
     /// What it says of itself.
     pub async fn alive(&self) -> u16 {
         let mut client = Client::connect(self.at).await;
@@ -283,6 +422,14 @@
         timeout(PATIENCE, read).await.expect("an end in time")
     }
 
+    /// Takes a request back, and waits for its end.
+    pub async fn abort(&mut self, id: u16) {
+        let mut abort = BytesMut::new();
+        record(&mut abort, ABORT_REQUEST, id, &[]);
+        self.write.write_all(&abort).await.unwrap();
+        assert_eq!(self.answer(id).await.status, 0, "an end without an answer");
+    }
+
     pub async fn answer(&mut self, id: u16) -> Answer {
         self.end(id).await.expect("an answer")
     }
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -426,3 +426,74 @@
     stage.tell(lease(0, false, false));
     assert_eq!(wanted(&ask(&mut stage, 5)), 0, "it gives otherwise");
 }
+
+/// Between the order and the first byte: whatever happens then, the attempt does not begin, and what never began is told as
+/// harmless also where it may not run twice.
+#[test]
+fn an_attempt_begins_only_if_all_still_allows_it() {
+    let delta =
+        |seq, address: &str, kind: &str, state| (ListForm::Delta, seq, vec![line(address, kind, state)]);
+    // The client leaves.
+    let mut stage = Stage::new();
+    let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+    assert!(stage.core.may_begin(T0, 1, attempt));
+    stage.tell(Input::Gone(1));
+    assert_eq!(stage.core.begin(T0, 1, attempt), None);
+    // The member, or the source of its fill, drains or is gone: it goes elsewhere, and the first one is over.
+    for state in [WireState::Draining, WireState::Gone] {
+        for of_source in [false, true] {
+            let mut stage = Stage::new();
+            let (attempt, member, fetch) = sent(&stage.ask(1, 0)).unwrap();
+            let source = fetch.and_then(|f| f.source).expect("a fill names its source");
+            let (struck, kind) = if of_source { (source, "parent") } else { (member, "cache") };
+            let (form, seq, members) = delta(2, &struck, kind, state);
+            stage.list(form, seq, members);
+            assert_eq!(stage.core.begin(T0, 1, attempt), None, "{state:?}, source: {of_source}");
+            let out = stage.tell(Input::Ended { request: 1, attempt, end: AttemptEnd::NotSent });
+            let (next, to, fetch) = sent(&out).expect("another attempt");
+            assert!(to != struck && fetch.is_none_or(|f| f.source.as_ref() != Some(&struck)));
+            assert!(stage.core.begin(T0, 1, next).is_some() && stage.core.begin(T0, 1, attempt).is_none());
+        }
+    }
+    // The time is up.
+    let mut stage = Stage::new();
+    let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+    let late = T0 + 1_000 * MS;
+    assert_eq!(stage.core.begin(late, 1, attempt).map(|b| b.left), Some(980 * MS), "less is left by then");
+    assert_eq!(stage.core.begin(T0 + 1_980 * MS, 1, attempt), None);
+    // At its time-out: one that began may have run, one that did not has not.
+    for began in [true, false] {
+        let mut stage = Stage::new();
+        let (attempt, ..) = sent(&stage.ask(1, 1)).unwrap();
+        assert!(!began || stage.core.begin(T0, 1, attempt).is_some());
+        let out = stage.to(T0 + 2_000 * MS);
+        assert_eq!(out.contains(&Output::Fail { request: 1 }), began, "{out:?}");
+        assert_eq!(out.iter().any(|o| matches!(o, Output::Refuse { .. })), !began, "{out:?}");
+    }
+}
+
+/// A purge that is told between the order and the first byte, of the object or of its group: no copy from before it will do.
+#[test]
+fn a_purge_told_before_the_first_byte_holds_for_the_attempt() {
+    for object in [Some("/video/1".to_owned()), None] {
+        let mut stage = Stage::new();
+        let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+        let before = stage.core.begin(T0, 1, attempt).unwrap().age;
+        let mut stage = Stage::new();
+        let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+        stage.now = T0 + 300 * MS;
+        let other = PurgeHead { object: Some("/video/2".into()), group: 3, age_us: 7 * MS, seq: 1 };
+        stage.tell(Input::Purge(other));
+        assert_eq!(
+            stage.core.begin(stage.now, 1, attempt).map(|b| b.age),
+            Some(before),
+            "another object's"
+        );
+        let mut stage = Stage::new();
+        let (attempt, ..) = sent(&stage.ask(1, 0)).unwrap();
+        stage.now = T0 + 300 * MS;
+        stage.tell(Input::Purge(PurgeHead { object, group: 3, age_us: 7 * MS, seq: 1 }));
+        let begin = stage.core.begin(stage.now, 1, attempt).unwrap();
+        assert!(begin.age > 0 && begin.age <= 7 * MS && !begin.join, "{begin:?} ({before} before)");
+    }
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -592,4 +592,88 @@
         let locked = connection.lock();
         assert!(locked.calls.is_empty() && locked.ended.len() <= ENDED_MOST);
     }
+
+    /// A connection that runs, and its other end, which reads nothing yet.
+    async fn running() -> (Arc<Connection>, TcpStream, tokio::task::JoinHandle<Option<String>>) {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let socket = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        socket2::SockRef::from(&socket).set_send_buffer_size(4_096).unwrap();
+        let (peer, _) = listener.accept().await.unwrap();
+        let connection = Connection::new();
+        let task = tokio::spawn(connection.clone().run(socket, Meter::default()));
+        (connection, peer, task)
+    }
+
+    /// A member that takes no bytes: what waits behind a line is not worded before the line is out, and when its caller has
+    /// left it is not worded at all. The line in the middle of which its caller leaves is never whole.
+    #[tokio::test]
+    async fn nothing_is_worded_before_its_first_byte_can_go_out() {
+        let (connection, mut peer, task) = running().await;
+        let worded = Arc::new(Mutex::new(Vec::new()));
+        let place = |id: &str, bytes: usize| {
+            let (line, worded, name) = (Bytes::from(vec![b'x'; bytes]), worded.clone(), id.to_owned());
+            let word = move || {
+                worded.lock().unwrap().push(name.clone());
+                Some(line.clone())
+            };
+            connection.place(id, Box::new(word)).expect("it is open")
+        };
+        let whole = 8 << 20;
+        let large = place("large", whole);
+        // In the middle of it: it has begun, and the socket takes no more.
+        while !connection.lock().writing.as_ref().is_some_and(|w| w.left.len() < whole) {
+            tokio::task::yield_now().await;
+        }
+        let (left, stays) = (place("left", 1), place("stays", 1));
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(*worded.lock().unwrap(), ["large"]);
+        drop(left);
+        assert!(connection.room("new", 9).is_some());
+        drop(large);
+        assert_eq!(connection.room("new", 9), None, "nothing new behind a line that nobody wants");
+        assert!(
+            !connection.tidy(Duration::from_secs(60), Duration::from_secs(60)),
+            "its rest may still go out"
+        );
+        assert!(connection.tidy(Duration::from_secs(60), Duration::ZERO));
+        assert_eq!(task.await.unwrap(), None);
+        let mut stays = stays;
+        assert_eq!(stays.written().await, Err(Lost::NotSent));
+        let mut heard = Vec::new();
+        let _ = tokio::io::AsyncReadExt::read_to_end(&mut peer, &mut heard).await;
+        assert!(heard.len() < whole, "never whole there");
+        assert_eq!(*worded.lock().unwrap(), ["large"]);
+    }
+
+    /// ... and where its rest is taken after all, a KILL follows and the connection goes on.
+    #[tokio::test]
+    async fn a_line_given_up_in_its_middle_is_followed_by_its_kill() {
+        let (connection, peer, _task) = running().await;
+        let line = Bytes::from([vec![b'x'; 8 << 20], b"\r\n".to_vec()].concat());
+        let large = connection.place("large", Box::new(move || Some(line.clone()))).unwrap();
+        while connection.lock().writing.is_none() {
+            tokio::task::yield_now().await;
+        }
+        drop(large);
+        let mut next =
+            connection.place("next", Box::new(|| Some(Bytes::from_static(b"PULL next\r\n")))).unwrap();
+        let mut lines = FramedRead::new(peer, tokio_util::codec::LinesCodec::new());
+        assert_eq!(lines.next().await.unwrap().unwrap().len(), 8 << 20);
+        assert_eq!(lines.next().await.unwrap().unwrap(), "KILL large");
+        assert_eq!(lines.next().await.unwrap().unwrap(), "PULL next");
+        assert_eq!(next.written().await, Ok(()));
+    }
+
+    /// A connection that is closed for want of use takes nothing from that moment on.
+    #[tokio::test]
+    async fn a_retired_connection_takes_nothing_and_one_in_use_is_not_retired() {
+        let connection = Connection::new();
+        let call = place(&connection, "a");
+        assert!(!connection.retire() && connection.room("b", 9) == Some(1));
+        drop(call);
+        assert!(connection.retire() && connection.room("b", 9).is_none());
+        assert!(connection.place("b", Box::new(|| None)).is_none());
+    }
 }
