What never began is told as not reached, so that silent hosts are held off

Change: Core::outcome tells such an end as ConnectFailed, which is as surely not run; as Moot where the client has left.

--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -562,9 +562,15 @@
     ) -> Option<Event> {
         let open = self.open.get_mut(&request)?;
         let attempt = open.out.take()?;
-        // What never began has not run, whatever ended it.
-        let never = !attempt.begun && matches!(status, Status::Timeout | Status::Cancelled);
-        let status = if never { Status::Moot } else { status };
+        // What never began has not run, whatever ended it: the module hears the truth of that.
+        let status = match status {
+            Status::Timeout | Status::Cancelled if attempt.begun => status,
+            // Wanted no longer: that says nothing of the member.
+            Status::Cancelled if open.done => Status::Moot,
+            // Nothing could be written there in its time.
+            Status::Timeout | Status::Cancelled => Status::ConnectFailed,
+            _ => status,
+        };
         self.timers.cancel(attempt.due, timers::Timer::Attempt(request, attempt.number));
         *self.ends.entry(status_word(status)).or_default() += 1;
         Some(Event::Outcome(Outcome {
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -469,6 +469,9 @@
         let out = stage.to(T0 + 2_000 * MS);
         assert_eq!(out.contains(&Output::Fail { request: 1 }), began, "{out:?}");
         assert_eq!(out.iter().any(|o| matches!(o, Output::Refuse { .. })), !began, "{out:?}");
+        // A member to which nothing could be written in time counts as one that was not reached.
+        let end = if began { "timeout" } else { "connect_failed" };
+        assert_eq!(stage.core.take_ends().get(end), Some(&1));
     }
 }
 
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -285,6 +285,7 @@
                 // Given up in this very moment: nothing of it is out.
                 Some(_) if !locked.calls.contains_key(&call) => {}
                 Some(left) => {
+                    tracing::debug!(txn = call, "begins");
                     locked.writing = Some(Writing { call: Some(call), anew: Some(word), left, torn: None });
                     return true;
                 }
