--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -289,6 +289,16 @@
             "  {:<14} service {:.3}, calls {}: served {} (late {}), refused {}, failed {}, left {}; p50 {:.0} ms, p99 {:.0} ms",
             c.name, c.service, c.calls, c.served, c.late, c.refused, c.failed, c.left, c.p50_ms, c.p99_ms
         );
+        let (all, large, next) = (c.answered(), c.largest, c.next_largest);
+        println!(
+            "  {:<14} answered {:.3}; the largest {} {:.3}, the next {} {:.3}",
+            "",
+            all.share(),
+            large.calls,
+            large.share(),
+            next.calls,
+            next.share()
+        );
     }
     outcome.rules.iter().for_each(print_rule);
 }
--- a/crates/lab/src/audit/mod.rs
+++ b/crates/lab/src/audit/mod.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod purges;
 pub mod service;
+pub mod sizes;
 pub mod sums;
 
 use crate::record::{Saw, Sight, TryId};
--- a/crates/lab/src/audit/service.rs
+++ b/crates/lab/src/audit/service.rs
@@ -22,6 +22,48 @@
     pub service: f64,
     pub p50_ms: f64,
     pub p99_ms: f64,
+    /// By the size of what was asked for: the largest tenth (of under 400 calls the quarter), and the next fifth.
+    #[serde(default)]
+    pub largest: Group,
+    #[serde(default)]
+    pub next_largest: Group,
+}
+
+/// Calls of like size, those whose clients left apart: how many, and how many were answered, in time or late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Group {
+    pub calls: u64,
+    pub answered: u64,
+}
+
+impl Group {
+    pub fn share(self) -> f64 {
+        if self.calls == 0 {
+            return 1.0;
+        }
+        self.answered as f64 / self.calls as f64
+    }
+
+    fn of(calls: &[(u64, bool)]) -> Self {
+        let answered = calls.iter().filter(|(_, answered)| *answered).count();
+        Self { calls: calls.len() as u64, answered: answered as u64 }
+    }
+}
+
+impl ClassService {
+    pub fn answered(&self) -> Group {
+        Group { calls: self.calls - self.left, answered: self.served }
+    }
+
+    /// `calls`: size, and whether it was answered.
+    fn by_size(&mut self, calls: &mut [(u64, bool)]) {
+        calls.sort_by(|a, b| b.cmp(a));
+        let count = calls.len();
+        let largest = if count < 400 { count / 4 } else { count / 10 };
+        let next = (largest + count / 5).min(count);
+        (self.largest, self.next_largest) =
+            (Group::of(&calls[..largest]), Group::of(&calls[largest..next]));
+    }
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -67,6 +109,7 @@
     let mut sums = vec![(0.0, 0.0); classes.len()];
     let new_histogram = || hdrhistogram::Histogram::<u64>::new_with_bounds(1, 600_000_000, 3);
     let mut times: Vec<_> = classes.iter().map(|_| new_histogram().expect("fixed bounds")).collect();
+    let mut sizes = vec![Vec::new(); classes.len()];
     let mut by_second = vec![(0.0, 0.0); scenario.seconds.ceil() as usize];
     let mut by_branch = vec![by_second.clone(); scenario.branches];
     for (n, call) in traffic.calls.iter().enumerate().filter(|(_, c)| c.at >= scenario.warm) {
@@ -85,6 +128,7 @@
             class.left += 1;
             continue;
         }
+        sizes[call.class].push((call.size, served.is_some()));
         match served {
             Some((at, old)) => {
                 let took = at.saturating_sub(call.at);
@@ -112,6 +156,7 @@
     let ratio = |(asked, got): (f64, f64)| if asked > 0.0 { got / asked } else { 1.0 };
     for (n, class) in classes.iter_mut().enumerate() {
         class.service = ratio(sums[n]);
+        class.by_size(&mut sizes[n]);
         class.p50_ms = times[n].value_at_quantile(0.5) as f64 / 1e3;
         class.p99_ms = times[n].value_at_quantile(0.99) as f64 / 1e3;
     }
--- a/crates/lab/src/day/mod.rs
+++ b/crates/lab/src/day/mod.rs
@@ -336,8 +336,9 @@
     let mut effects: Vec<(String, u32)> =
         stage.with(|w| w.effects().iter().map(|(work, n)| (work.to_string(), *n)).collect());
     effects.sort();
-    let rules = audit::judge(scenario, &sights, &effects);
+    let mut rules = audit::judge(scenario, &sights, &effects);
     let service = audit::service::service(scenario, &traffic, &sights);
+    rules.push(audit::sizes::judge(scenario, &service));
     Ok(Outcome { service, rules, sights, rig_late_ms })
 }
 
--- a/crates/lab/src/virt/mod.rs
+++ b/crates/lab/src/virt/mod.rs
@@ -51,7 +51,8 @@
     sim.run();
     let (sights, effects, mut cost) = sim.finish();
     cost.wall_s = began.elapsed().as_secs_f64();
-    let rules = audit::judge(scenario, &sights, &effects);
+    let mut rules = audit::judge(scenario, &sights, &effects);
     let service = audit::service::service(scenario, &traffic, &sights);
+    rules.push(audit::sizes::judge(scenario, &service));
     Ok(Outcome { service, rules, sights, cost })
 }
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -622,7 +622,7 @@
         let whole = 8 << 20;
         let large = place("large", whole);
         // In the middle of it: it has begun, and the socket takes no more.
-        while !connection.lock().writing.as_ref().is_some_and(|w| w.left.len() < whole) {
+        while connection.lock().writing.as_ref().is_none_or(|w| w.left.len() >= whole) {
             tokio::task::yield_now().await;
         }
         let (left, stays) = (place("left", 1), place("stays", 1));
