Tests: one script for the host that never answers for one object

Need: three tests of the platform stage had the same script each. Change: silent_on_a in the stage; assertions as they were. Measured: the 27 platform tests pass in 4 s, clippy and fmt clean.

--- a/crates/cli/tests/platform/endings.rs
+++ b/crates/cli/tests/platform/endings.rs
@@ -353,11 +353,7 @@
 /// nothing of them is kept.
 #[tokio::test]
 async fn a_close_with_all_open_gives_all_up() {
-    let script = |id: &str, fields: &str| match fields.contains("obj=aaaaaaaaaaaaaaaa") {
-        true => Vec::new(),
-        false => served(id, "good"),
-    };
-    let (board, mut cache) = (board().await, host(script).await);
+    let (board, mut cache) = (board().await, host(silent_on_a).await);
     let hosts = [listed("s-1", cache.at, "box", "Ready")];
     let dispatcher = Dispatcher::start(board.at, &hosts).await;
     let mut client = Client::connect(dispatcher.at).await;
@@ -401,11 +397,7 @@
 /// goes out, and nothing is kept.
 #[tokio::test]
 async fn hundreds_sent_at_once_by_clients_that_go_leave_nothing() {
-    let script = |id: &str, fields: &str| match fields.contains("obj=aaaaaaaaaaaaaaaa") {
-        true => Vec::new(),
-        false => served(id, "good"),
-    };
-    let (board, mut cache) = (board().await, host(script).await);
+    let (board, mut cache) = (board().await, host(silent_on_a).await);
     let hosts = [listed("s-1", cache.at, "box", "Ready")];
     let dispatcher = Dispatcher::start(board.at, &hosts).await;
     for _ in 0..8 {
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -275,11 +275,7 @@
 /// Hundreds taken back in one moment: each is given up at its cache host, and every number is free again.
 #[tokio::test]
 async fn hundreds_of_aborts_at_once_leave_nothing() {
-    let script = |id: &str, fields: &str| match fields.contains("obj=aaaaaaaaaaaaaaaa") {
-        true => Vec::new(),
-        false => served(id, "good"),
-    };
-    let (_board, mut cache, _origin, dispatcher) = small(script).await;
+    let (_board, mut cache, _origin, dispatcher) = small(silent_on_a).await;
     let mut clients = Vec::new();
     let mut aborts = BytesMut::new();
     for id in 1..=32 {
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -198,6 +198,14 @@
     }
 }
 
+/// A script that never answers for one object.
+pub fn silent_on_a(id: &str, fields: &str) -> Vec<u8> {
+    match fields.contains("obj=aaaaaaaaaaaaaaaa") {
+        true => Vec::new(),
+        false => served(id, "good"),
+    }
+}
+
 pub fn served(id: &str, body: &str) -> Vec<u8> {
     format!("{id} served rev=77aa,since=1764576000123,res=mem {}\r\n{body}\r\n", body.len()).into_bytes()
 }
