A client's leaving is seen behind pipelined HTTP requests that are not read yet

Cause: door_http.rs gone() waited for ever once a second request had come (its next.is_some() branch, 'a write will tell'): a client that sent several requests and left was not known to have gone, its attempt went on for up to its deadline and the requests behind it were begun. Ruled out: the framed door and the platform's (their readers are never held back). Change: while reading is held back the socket's end is looked for behind the unread bytes, every 20 ms (ReadHalf::left; TCP, TLS and simulated).

--- a/crates/edge/src/net/door_http.rs
+++ b/crates/edge/src/net/door_http.rs
@@ -239,15 +239,15 @@
 impl ClientSide for HttpClient {
     async fn gone(&mut self) {
         if self.next.is_some() {
-            // Reading further would have to buffer without bound; a write will tell.
-            return std::future::pending().await;
+            // Reading further would have to buffer without bound: its end is looked for behind what is not read.
+            return self.requests.left().await;
         }
         if !self.gone {
             match self.requests.next().await {
                 Some(Err(e)) if e.status() == 0 => self.gone = true,
                 Some(request) => {
                     self.next = Some(Box::new(request));
-                    std::future::pending().await
+                    self.requests.left().await
                 }
                 None => self.gone = true,
             }
--- a/crates/link/src/line.rs
+++ b/crates/link/src/line.rs
@@ -8,9 +8,14 @@
 use std::io::{ErrorKind, IoSlice, Result};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+/// Time between two looks for the end of a peer whose bytes are not read: well under the 0.1 s within which it has gone.
+pub(crate) const LEAVING_LOOK: Duration = Duration::from_millis(20);
+
 /// Pieces of one vectored write.
 pub(crate) const PIECES: usize = 32;
 
@@ -70,6 +75,23 @@
         }
     }
 
+    /// Returns when the peer has ended its direction or the connection broke, though bytes before that are not read yet. It
+    /// looks every [`LEAVING_LOOK`] while there are such bytes. Safe to drop while waiting.
+    pub async fn left(&self) -> Result<()> {
+        let socket = match self {
+            Self::Tcp(half) => half.as_ref(),
+            Self::Tls(tls) => tls.socket(),
+            Self::Simulated(half) => {
+                half.left().await;
+                return Ok(());
+            }
+        };
+        while !socket.ready(Interest::READABLE).await?.is_read_closed() {
+            tokio::time::sleep(LEAVING_LOOK).await;
+        }
+        Ok(())
+    }
+
     /// `WouldBlock`: nothing is there; 0: the end.
     pub fn try_read_buf(&self, buffer: &mut impl BufMut) -> Result<usize> {
         let mut put = |bytes: &[u8]| {
@@ -149,7 +171,7 @@
     pub fn abort(&self) {
         match self {
             Self::Tcp(half) => {
-                let _ = socket2::SockRef::from(half.as_ref()).set_linger(Some(std::time::Duration::ZERO));
+                let _ = socket2::SockRef::from(half.as_ref()).set_linger(Some(Duration::ZERO));
             }
             Self::Tls(half) => half.0.abort(),
             Self::Simulated(half) => half.abort(),
--- a/crates/link/src/reader.rs
+++ b/crates/link/src/reader.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Returns when the peer has left, though what it sent before is not read yet: for who holds its reading back.
+    pub async fn left(&self) {
+        let _ = self.socket.left().await;
+    }
+
     /// Waits, without a buffer, until there is something to read.
     pub async fn readable(&self) -> std::io::Result<()> {
         self.socket.readable().await
--- a/crates/link/src/simulated.rs
+++ b/crates/link/src/simulated.rs
@@ -7,7 +7,7 @@
 //!
 //! Kept: a direction's unread bytes, at most [`WINDOW`]; a listener's queue; a way for each pair of addresses that ever
 //! spoke (a simulation has few).
-use crate::line::Line;
+use crate::line::{Line, LEAVING_LOOK};
 use bytes::{Buf, Bytes, BytesMut};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -305,6 +305,22 @@
         std::future::poll_fn(|cx| lock(&self.0.state).poll_readable(self.0.parted(), cx)).await;
     }
 
+    /// Returns when the peer has ended its direction, though bytes before that are not read yet.
+    pub async fn left(&self) {
+        loop {
+            let parted = self.0.parted();
+            let left = {
+                let state = lock(&self.0.state);
+                let ended = state.end.is_some_and(|at| at <= Instant::now());
+                state.is_cut(parted) || (ended && !parted)
+            };
+            if left {
+                return;
+            }
+            tokio::time::sleep(LEAVING_LOOK).await;
+        }
+    }
+
     pub fn try_read(&self, put: &mut dyn FnMut(&[u8]) -> usize) -> Result<usize> {
         let parted = self.0.parted();
         let (taken, writer) = {
--- a/crates/link/src/tls.rs
+++ b/crates/link/src/tls.rs
@@ -227,6 +227,10 @@
 }
 
 impl Tls {
+    pub(crate) fn socket(&self) -> &TcpStream {
+        &self.socket
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
