Framed requests are worded at their first byte: who left while they waited is not sent on

Cause: Link::call put a request's frame into the writer's buffer at once (tasks.rs call, writer.rs put); behind a member that reads nothing it stood there, and went out whenever there was room, with a cancel behind it. Core::begin had been asked when it was queued (upstream.rs call). Change: the writer's queue holds requests unworded (Piece::Request); they are worded by the caller's closure, which asks Core::begin, when the socket takes bytes, and again where it took none. Given up before that they are withdrawn without a frame; at the connection's end they end as NotSent, not broken. The core's wishes (want) go over a channel now, as the writer takes the core's lock (deadlock otherwise).

--- a/crates/client/src/framed.rs
+++ b/crates/client/src/framed.rs
@@ -108,7 +108,7 @@
                     }
                     _ => End::Failed { may_have_run: e.may_have_run },
                 }),
-                Some(Part::End(CallEnd::Broken(_))) | None => {
+                Some(Part::End(CallEnd::Broken(_) | CallEnd::NotSent)) | None => {
                     Err(End::Lost { lease: self.connection.lease() })
                 }
             };
--- a/crates/edge/src/net/exchange.rs
+++ b/crates/edge/src/net/exchange.rs
@@ -486,6 +486,7 @@
     match end {
         CallEnd::Complete(_) => AttemptEnd::Complete,
         CallEnd::Broken(_) => AttemptEnd::Broken,
+        CallEnd::NotSent => AttemptEnd::NotSent,
         CallEnd::Error(e) => {
             AttemptEnd::Told { status: e.status(), note: e.note(), may_have_run: e.may_have_run }
         }
--- a/crates/edge/src/net/mod.rs
+++ b/crates/edge/src/net/mod.rs
@@ -63,7 +63,7 @@
 pub struct Prepared {
     net: Net,
     hub: Arc<Hub>,
-    meetings: tokio::sync::mpsc::UnboundedReceiver<String>,
+    wished: tokio::sync::mpsc::UnboundedReceiver<upstream::Wish>,
     helpers: JoinSet<()>,
 }
 
@@ -71,12 +71,12 @@
     /// Reads the state file, and takes the static list if there is no state.
     pub async fn new(net: Net, settings: EdgeSettings, seed: u64) -> Self {
         let settings = Arc::new(settings);
-        let (hub, meetings) = Hub::framed(settings.clone(), seed, net.clone());
+        let (hub, wished) = Hub::framed(settings.clone(), seed, net.clone());
         let hub = Arc::new(hub);
         if !saver::restore(&hub).await && !settings.members.is_empty() {
             hub.members(static_list(&settings));
         }
-        Self { net, hub, meetings, helpers: JoinSet::new() }
+        Self { net, hub, wished, helpers: JoinSet::new() }
     }
 
     /// Lists, purges and counts come from this source too, for as long as the dispatcher runs.
@@ -94,7 +94,7 @@
 
     /// Listens.
     pub async fn open(self) -> Result<Dispatcher, StartError> {
-        let Self { net, hub, meetings, mut helpers } = self;
+        let Self { net, hub, wished, mut helpers } = self;
         let settings = hub.settings.clone();
         let mut doors = JoinSet::new();
         let tls = |t: &pointspindle_config::Tls| {
@@ -148,7 +148,7 @@
         }
         helpers.spawn(desk::run_timers(hub.clone()));
         helpers.spawn(upstream::sweep(hub.clone()));
-        helpers.spawn(upstream::meet_all(hub.clone(), meetings));
+        helpers.spawn(upstream::carry_out(hub.clone(), wished));
         if settings.state_file.is_some() {
             helpers.spawn(saver::run(hub.clone()));
         }
--- a/crates/edge/src/net/upstream.rs
+++ b/crates/edge/src/net/upstream.rs
@@ -28,25 +28,35 @@
 #[derive(Debug)]
 pub(crate) struct Framed {
     pub pool: Pool,
-    /// Members to connect to though no request goes there yet ([`meet_all`]).
-    meet: mpsc::UnboundedSender<String>,
+    /// What the core wishes of members beside requests ([`carry_out`]). Not done at once: it wishes under its lock, which a
+    /// connection's writer takes for each request that begins.
+    wishes: mpsc::UnboundedSender<Wish>,
     pub tries: Arc<Tries>,
 }
 
+/// Of a member, though no request goes there.
+#[derive(Debug)]
+pub(crate) enum Wish {
+    /// A connection, so that it can say who it is.
+    Meet(String),
+    /// Work from one that gives it by asking.
+    Want(String, u64),
+}
+
 impl Hub {
-    /// ... and whom to connect to ([`meet_all`]).
+    /// ... and what is wished of members ([`carry_out`]).
     pub fn framed(
         settings: Arc<EdgeSettings>,
         seed: u64,
         net: Net,
-    ) -> (Self, mpsc::UnboundedReceiver<String>) {
-        let (meet, meetings) = mpsc::unbounded_channel();
+    ) -> (Self, mpsc::UnboundedReceiver<Wish>) {
+        let (wishes, wished) = mpsc::unbounded_channel();
         // As many again as may run: those that are remembered.
         let tries = Tries::new(2 * settings.max_requests);
         let upstream = settings.upstream.clone();
         let side =
-            |meter: &Meter| Framed { pool: Pool::new(upstream, seed, meter.clone(), net), meet, tries };
-        (Self::new(settings, seed, side), meetings)
+            |meter: &Meter| Framed { pool: Pool::new(upstream, seed, meter.clone(), net), wishes, tries };
+        (Self::new(settings, seed, side), wished)
     }
 }
 
@@ -69,8 +79,13 @@
             // Decided for a process that is gone: decided anew, with what the new one has said.
             Err(NoLink::Replaced) => Err(AttemptEnd::NotSent),
             Ok(link) => {
-                hub.begin(ticket).ok_or(AttemptEnd::NotSent)?.word(&mut request);
-                link.call(request).map_err(|e| match e {
+                let desk = hub.clone();
+                // Asked again wherever the socket takes its first byte: it may be full now.
+                let word = move || {
+                    desk.begin(ticket)?.word(&mut request);
+                    Some(request.clone())
+                };
+                link.call_when(Box::new(word)).map_err(|e| match e {
                     LinkError::NoStream(_) => AttemptEnd::NotSent,
                     _ => AttemptEnd::ConnectFailed,
                 })
@@ -79,11 +94,11 @@
     }
 
     fn meet(&self, member: String) {
-        let _ = self.meet.send(member);
+        let _ = self.wishes.send(Wish::Meet(member));
     }
 
     fn want(&self, member: &str, work_us: u64) {
-        self.pool.want(member, work_us);
+        let _ = self.wishes.send(Wish::Want(member.to_owned(), work_us));
     }
 }
 
@@ -379,12 +394,19 @@
 /// How long a connection is tried for though no request wants it.
 const MEETING: Duration = Duration::from_secs(20);
 
-/// Connects to members whose word is wanted though no request goes there: one that said hello and whose connection broke
+/// Carries out what the core wishes beside requests. It connects to members whose word is wanted: one that said hello and whose connection broke
 /// may be another process now, and only it can say what it takes; and one that is told to have started.
-pub(crate) async fn meet_all(hub: Arc<Hub>, mut wanted: mpsc::UnboundedReceiver<String>) {
+pub(crate) async fn carry_out(hub: Arc<Hub>, mut wished: mpsc::UnboundedReceiver<Wish>) {
     let mut meetings = JoinSet::new();
-    while let Some(address) = wanted.recv().await {
+    while let Some(wish) = wished.recv().await {
         while meetings.try_join_next().is_some() {}
+        let address = match wish {
+            Wish::Meet(address) => address,
+            Wish::Want(address, work_us) => {
+                hub.side.pool.want(&address, work_us);
+                continue;
+            }
+        };
         let hub = hub.clone();
         meetings.spawn(async move {
             let met = async {
--- a/crates/edge/tests/upstream.rs
+++ b/crates/edge/tests/upstream.rs
@@ -2,6 +2,8 @@
 use bytes::BytesMut;
 use pointspindle_config::parse;
 use pointspindle_edge::Dispatcher;
+use pointspindle_link::{Link, LinkOptions};
+use pointspindle_wire::streams::Side;
 use pointspindle_wire::*;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -295,3 +297,139 @@
         assert_eq!(told.ends_with("\r\n\r\n0123"), !served, "{told}");
     }
 }
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    Close,
+    Reset,
+    HalfClose,
+}
+
+/// A client's leaving is seen though it stands behind requests that are not read yet: what is under way is given up, and
+/// none of those that wait is sent on.
+#[tokio::test]
+async fn a_leaving_behind_requests_that_are_not_read_yet_is_seen() {
+    for leaves in [Leaves::Close, Leaves::Reset, Leaves::HalfClose] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let text = format!(
+            "[dispatcher]\nzone = b\n[listen]\nhttp = 127.0.0.1:0\ndrain_ms = 100\n[zone b]\ndispatchers = 1\n\
+             [member one]\naddress = {}\nkind = cache\nzone = b\nweight = 50\n\
+             [class page]\npath_prefix = /page/\ndeadline_ms = 60000\naim_ms = 50000\n",
+            listener.local_addr().unwrap()
+        );
+        let dispatcher = Dispatcher::start(parse("test", &text).unwrap(), 1).await.unwrap();
+        let mut client = TcpStream::connect(dispatcher.bound().http.unwrap()).await.unwrap();
+        let asked: String = (0..31).map(|n| format!("GET /page/{n} HTTP/1.1\r\nHost: a\r\n\r\n")).collect();
+        client.write_all(asked.as_bytes()).await.unwrap();
+        let mut member = Member::accept(&listener).await;
+        let id = member.asked().await;
+        let held = match leaves {
+            Leaves::Close => None,
+            Leaves::Reset => {
+                socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+                None
+            }
+            Leaves::HalfClose => {
+                client.shutdown().await.unwrap();
+                Some(&client)
+            }
+        };
+        if held.is_none() {
+            drop(client);
+        }
+        let cancelled = loop {
+            match member.hear().await.expect("the connection to the member stays") {
+                Frame::Cancel(stream, _) => break stream,
+                Frame::Request(..) => panic!("{leaves:?}: sent on for a client that has left"),
+                Frame::Probe(p) if !p.echo => member.say(Frame::Probe(ProbeHead { echo: true, ..p })).await,
+                _ => {}
+            }
+        };
+        assert_eq!(cancelled, id, "{leaves:?}");
+        // What is asked by who is there comes next, and nothing in between.
+        let last = tokio::spawn(get(dispatcher.bound().http.unwrap(), "/page/last"));
+        let (id, head) = member.request().await;
+        assert_eq!(head.object, "/page/last", "{leaves:?}: sent on for a client that has left");
+        member.answer(id).await;
+        assert!(last.await.unwrap().starts_with("HTTP/1.1 200"));
+        dispatcher.stop().await;
+    }
+}
+
+/// Requests that wait behind a connection which takes nothing begin only where that still holds when it does: those of
+/// clients that have left never go out, the others do.
+#[tokio::test]
+async fn behind_a_member_that_reads_nothing_only_those_begin_whose_clients_are_there() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4 * 1024).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(16).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from_std(socket.into()).unwrap();
+    let text = format!(
+        "[dispatcher]\nzone = b\n[listen]\nhttp = 127.0.0.1:0\nframed = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n\
+         drain_ms = 100\nmax_streams = 4000\n[upstream]\nmax_streams = 4000\n[zone b]\ndispatchers = 1\n\
+         [member one]\naddress = {}\nkind = cache\nzone = b\nweight = 4000\n\
+         [class page]\npath_prefix = /page/\ndeadline_ms = 60000\naim_ms = 50000\n",
+        listener.local_addr().unwrap()
+    );
+    let dispatcher = Dispatcher::start(parse("test", &text).unwrap(), 1).await.unwrap();
+    let bound = dispatcher.bound();
+    let socket = TcpStream::connect(bound.framed.unwrap()).await.unwrap();
+    let (clients, _incoming) = Link::start(socket, Side::Caller, LinkOptions { max_streams: 4_000 });
+    let long = "x".repeat(12_000);
+    let ask = |n: usize| RequestHead {
+        object: format!("/page/{n}/{long}"),
+        class: "page".into(),
+        ..Default::default()
+    };
+    let calls: Vec<_> = (0..MANY).map(|n| clients.call(ask(n)).unwrap()).collect();
+    let metrics = bound.metrics.unwrap();
+    let under_way = |text: &str| -> usize {
+        let line = text.lines().find(|l| l.starts_with("pointspindle_open_requests ")).expect("a figure");
+        line.rsplit(' ').next().unwrap().parse().unwrap()
+    };
+    // All are placed: whatever still comes goes behind them.
+    until(async || under_way(&get(metrics, "/").await) == MANY).await;
+    let mut member = Member::accept(&listener).await;
+    // Every second one leaves while nothing is read; that is known once none of them is open any more.
+    let stay: Vec<_> = calls.into_iter().step_by(2).collect();
+    until(async || under_way(&get(metrics, "/").await) == stay.len()).await;
+    let (mut begun, mut cancelled) = (Vec::new(), std::collections::BTreeSet::new());
+    let mut left_open = stay.len();
+    // What the kernel had taken before the leaving cannot be called back: it is cancelled behind.
+    let gone = |n: usize| n & 1 == 1;
+    while left_open > 0 || begun.iter().any(|(id, n)| gone(*n) && !cancelled.contains(id)) {
+        match member.hear().await.expect("the connection stays") {
+            Frame::Request(id, head) => {
+                let n: usize = head.object.split('/').nth(2).unwrap().parse().unwrap();
+                begun.push((id, n));
+                left_open -= (n & 1 == 0) as usize;
+            }
+            Frame::Cancel(id, _) => drop(cancelled.insert(id)),
+            _ => {}
+        }
+    }
+    // What the kernel took before the leaving has numbers without a gap; behind the first gap nobody's who left goes out.
+    let first = begun[0].0;
+    let taken = begun.iter().zip(first..).take_while(|((id, _), next)| id == next).count();
+    let late = begun[taken..].iter().filter(|(_, n)| gone(*n)).count();
+    println!("{} of {MANY} requests went out, {taken} of them in the kernel by then", begun.len());
+    assert_eq!(late, 0, "went out for clients that had left");
+    assert!(taken < MANY, "the kernel's own buffer has to be smaller than all of them");
+    dispatcher.stop().await;
+}
+
+/// Asks again and again, with a bound.
+async fn until(mut is_so: impl AsyncFnMut() -> bool) {
+    let asking = async {
+        while !is_so().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, asking).await.expect("it comes to that in time");
+}
+
+/// Requests of [`behind_a_member_that_reads_nothing_only_those_begin_whose_clients_are_there`].
+const MANY: usize = 600;
--- a/crates/host/src/net/sources.rs
+++ b/crates/host/src/net/sources.rs
@@ -123,6 +123,7 @@
             Some(Part::Head(head)) => Ok(Began { head, no_store: false, answer: Answer::Framed(call) }),
             Some(Part::End(CallEnd::Error(e))) => Err(Failed::Told(Box::new(e))),
             Some(Part::End(CallEnd::Broken(why))) => Err(Failed::Broke(why)),
+            Some(Part::End(CallEnd::NotSent)) => Err(Failed::Unreachable("nothing of it was sent".into())),
             _ => Err(Failed::Broke("no head".into())),
         }
     }
--- a/crates/host/tests/service.rs
+++ b/crates/host/tests/service.rs
@@ -130,6 +130,7 @@
             Part::End(CallEnd::Complete(_)) => return Ok((head.unwrap(), got.freeze())),
             Part::End(CallEnd::Error(e)) => return Err(e),
             Part::End(CallEnd::Broken(why)) => panic!("{why}"),
+            Part::End(CallEnd::NotSent) => panic!("nothing of it was sent"),
         }
     }
 }
--- a/crates/lab/src/day/clients.rs
+++ b/crates/lab/src/day/clients.rs
@@ -148,7 +148,7 @@
                 }
                 Part::End(CallEnd::Error(_)) if size.is_some() => return Some(End::Broken),
                 Part::End(CallEnd::Error(_)) => return Some(End::Failed),
-                Part::End(CallEnd::Broken(_)) => return Some(End::Lost),
+                Part::End(CallEnd::Broken(_) | CallEnd::NotSent) => return Some(End::Lost),
             }
         }
         Some(End::Lost)
--- a/crates/lab/src/sockets/fills.rs
+++ b/crates/lab/src/sockets/fills.rs
@@ -38,7 +38,7 @@
             Part::End(CallEnd::Error(e)) => {
                 return SourceEnd::Told { status: e.status(), note: e.note() };
             }
-            Part::End(CallEnd::Broken(_)) => break,
+            Part::End(CallEnd::Broken(_) | CallEnd::NotSent) => break,
         }
     }
     SourceEnd::Unreachable
--- a/crates/link/src/call.rs
+++ b/crates/link/src/call.rs
@@ -22,6 +22,8 @@
 pub enum CallEnd {
     Complete(EndHead),
     Error(ErrorHead),
+    /// None of its bytes went out, and none will.
+    NotSent,
     /// The connection is gone; the work may have run.
     Broken(String),
 }
@@ -90,7 +92,7 @@
                 self.shared.meter.sub(data.len());
             }
         }
-        if !self.ended {
+        if !self.ended && !self.shared.withdraw(self.id) {
             let reason = String::new();
             self.shared.push(Frame::Cancel(self.id, CancelHead { reason }));
         }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -23,6 +23,7 @@
 pub use meter::Meter;
 pub use reader::{Idle, Reader};
 pub use tasks::{Inbound, Incoming, Link, LinkOptions};
+pub use writer::Wording;
 
 /// Why nothing could be sent, or nothing more will come.
 #[derive(Clone, Debug, thiserror::Error, PartialEq, Eq)]
--- a/crates/link/src/tasks.rs
+++ b/crates/link/src/tasks.rs
@@ -4,7 +4,7 @@
 use crate::line::Line;
 use crate::meter::Meter;
 use crate::reader::Reader;
-use crate::writer::{When, Writer};
+use crate::writer::{Unsent, When, Wording, Writer};
 use crate::LinkError;
 use pointspindle_wire::streams::*;
 use pointspindle_wire::*;
@@ -81,6 +81,11 @@
         sent.then_some(()).ok_or_else(|| LinkError::Closed(self.why_closed()))
     }
 
+    /// Takes a request back of which nothing has gone out; false: its first byte has.
+    pub(crate) fn withdraw(&self, id: u32) -> bool {
+        self.writer.withdraw(id)
+    }
+
     pub(crate) fn forget(&self, id: u32) {
         let mut table = self.table();
         table.streams.close(id);
@@ -112,6 +117,8 @@
             std::mem::take(&mut table.entries)
         };
         self.connection_credit.close();
+        // First: what never began is not told as broken.
+        self.writer.drop_unsent();
         for entry in entries.into_values() {
             match entry {
                 Entry::Call(parts) => {
@@ -199,8 +206,14 @@
         (Self { shared }, Incoming { queue: taken })
     }
 
-    /// Sends a request. An error means that nothing was sent.
+    /// Sends a request. An error, and [`CallEnd::NotSent`], mean that nothing was sent.
     pub fn call(&self, request: RequestHead) -> Result<Call, LinkError> {
+        self.call_when(Box::new(move || Some(request.clone())))
+    }
+
+    /// Sends a request that is worded when the socket takes its first byte, under the connection's lock: the wording must not
+    /// come back to this connection. Given up before that, or where it says that it may not begin, nothing of it goes out.
+    pub fn call_when(&self, word: Wording) -> Result<Call, LinkError> {
         let (sender, parts) = mpsc::unbounded_channel();
         let id = {
             let mut table = self.shared.table();
@@ -211,9 +224,13 @@
                 return Err(LinkError::Closed("the peer goes away".into()));
             }
             let id = table.streams.call().ok_or(LinkError::NoStream(self.shared.most))?;
-            table.entries.insert(id, Entry::Call(sender));
+            table.entries.insert(id, Entry::Call(sender.clone()));
             // Under the lock: requests reach the writer in the order of their numbers.
-            self.shared.writer.put(Frame::Request(id, request));
+            if !self.shared.writer.put_request(Unsent { id, word, parts: sender }) {
+                table.streams.close(id);
+                table.entries.remove(&id);
+                return Err(LinkError::Closed("it closes".into()));
+            }
             id
         };
         self.shared.writer.flush();
--- a/crates/link/src/writer.rs
+++ b/crates/link/src/writer.rs
@@ -5,16 +5,21 @@
 //! write takes them together. Bodies of some size stay where they lie and go out by vectored writes. What waits is bounded
 //! by [`MOST`] for whoever can wait; what cannot (requests, cancels, credit) is small and rare.
 //!
+//! A request is worded right before its first byte, when the socket takes bytes: whoever asked is asked then whether it may
+//! still begin, and until then nothing of it is in any buffer. What is given up before that ([`Writer::withdraw`]), or waits
+//! when the connection ends, never began, and its call is told so.
+//!
 //! An idle connection holds no buffer and no queue.
+use crate::call::{CallEnd, Part};
 use crate::line::{WriteHalf, PIECES};
 use crate::meter::Meter;
 use bytes::{Buf, Bytes, BytesMut};
-use pointspindle_wire::{Frame, FrameCodec, FrameError};
+use pointspindle_wire::{Frame, FrameCodec, FrameError, RequestHead};
 use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{mpsc, Notify};
 use tokio_util::codec::Encoder;
 
 /// Bytes that may wait for the socket before senders wait.
@@ -28,11 +33,42 @@
 /// Longest time for what still waits when a connection is closed here.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
+/// Words a request at the moment of its first byte; none: it is not to begin any more. Asked again where the socket took
+/// nothing after all.
+pub type Wording = Box<dyn FnMut() -> Option<RequestHead> + Send>;
+
+/// A request none of whose bytes has gone out. Dropped like this it never began, and its call is told so.
+pub(crate) struct Unsent {
+    pub id: u32,
+    pub word: Wording,
+    pub parts: mpsc::UnboundedSender<Box<Part>>,
+}
+
+impl std::fmt::Debug for Unsent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Unsent").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl Unsent {
+    fn never_began(self) {
+        let _ = self.parts.send(Box::new(Part::End(CallEnd::NotSent)));
+    }
+}
+
+#[derive(Debug)]
+enum Piece {
+    Bytes(Bytes),
+    Request(Unsent),
+}
+
 #[derive(Debug, Default)]
 struct State {
     codec: FrameCodec,
-    /// In order: pieces that stay as they are, then what is being gathered.
-    pieces: VecDeque<Bytes>,
+    /// In order: pieces that stay as they are and requests that are not worded yet, then what is being gathered.
+    pieces: VecDeque<Piece>,
+    /// How many of the pieces are requests.
+    unsent: usize,
     tail: BytesMut,
     /// Bytes of both, and how many of them the meter knows of.
     waiting: usize,
@@ -52,7 +88,7 @@
                 self.codec.encode_data_head(stream, body.len(), &mut self.tail)?;
                 self.waiting += self.tail.len() - before + body.len();
                 let head = self.tail.split().freeze();
-                self.pieces.extend([head, body]);
+                self.pieces.extend([Piece::Bytes(head), Piece::Bytes(body)]);
             }
             frame => {
                 self.codec.encode(frame, &mut self.tail)?;
@@ -62,11 +98,86 @@
         Ok(())
     }
 
+    /// Behind all that waits.
+    fn put_request(&mut self, request: Unsent) {
+        if !self.tail.is_empty() {
+            self.pieces.push_back(Piece::Bytes(self.tail.split().freeze()));
+        }
+        self.pieces.push_back(Piece::Request(request));
+        self.unsent += 1;
+    }
+
+    fn is_empty(&self) -> bool {
+        self.waiting == 0 && self.unsent == 0
+    }
+
+    /// Words the request that is next and writes its first bytes; false: the socket took none, it waits unworded.
+    fn begin(&mut self, mut request: Unsent, socket: &WriteHalf) -> bool {
+        self.unsent -= 1;
+        let Some(head) = (request.word)() else {
+            request.never_began();
+            return true;
+        };
+        let mut bytes = BytesMut::new();
+        if let Err(e) = self.codec.encode(Frame::Request(request.id, head), &mut bytes) {
+            self.die(&e.to_string());
+            return true;
+        }
+        match socket.try_write_vectored(&[IoSlice::new(&bytes)]) {
+            Ok(0) => self.die("the socket takes nothing more"),
+            Ok(written) => {
+                bytes.advance(written);
+                self.waiting += bytes.len();
+                if !bytes.is_empty() {
+                    self.pieces.push_front(Piece::Bytes(bytes.freeze()));
+                }
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                self.pieces.push_front(Piece::Request(request));
+                self.unsent += 1;
+                return false;
+            }
+            Err(e) => self.die(&e.to_string()),
+        }
+        true
+    }
+
+    /// Takes a request back of which nothing has gone out; false: its first byte has.
+    fn withdraw(&mut self, id: u32) -> bool {
+        let found = self.pieces.iter().position(|p| matches!(p, Piece::Request(r) if r.id == id));
+        self.unsent -= found.is_some() as usize;
+        found.and_then(|at| self.pieces.remove(at)).is_some()
+    }
+
+    /// What never began is told so.
+    fn drop_unsent(&mut self) {
+        self.unsent = 0;
+        for piece in std::mem::take(&mut self.pieces) {
+            match piece {
+                Piece::Request(request) => request.never_began(),
+                bytes => self.pieces.push_back(bytes),
+            }
+        }
+    }
+
     /// Writes what the socket takes.
     fn flush(&mut self, socket: &WriteHalf) {
-        while self.waiting > 0 && self.dead.is_none() {
+        while !self.is_empty() && self.dead.is_none() {
+            if let Some(Piece::Request(_)) = self.pieces.front() {
+                let Some(Piece::Request(request)) = self.pieces.pop_front() else { continue };
+                if !self.begin(request, socket) {
+                    self.full = true;
+                    return;
+                }
+                continue;
+            }
             let mut slices = [IoSlice::new(&[]); PIECES];
-            let all = self.pieces.iter().map(|p| &p[..]).chain([&self.tail[..]]);
+            // As far as the next request, which is worded when it is first.
+            let bytes = |p: &Piece| matches!(p, Piece::Bytes(_));
+            let whole = self.unsent == 0;
+            let ready = self.pieces.iter().take_while(|p| bytes(p));
+            let ready = ready.filter_map(|p| if let Piece::Bytes(b) = p { Some(&b[..]) } else { None });
+            let all = ready.chain(whole.then_some(&self.tail[..]));
             let mut count = 0;
             for (slice, piece) in slices.iter_mut().zip(all.filter(|p| !p.is_empty())) {
                 *slice = IoSlice::new(piece);
@@ -91,7 +202,7 @@
 
     fn took(&mut self, mut written: usize) {
         self.waiting -= written;
-        while let Some(piece) = self.pieces.front_mut() {
+        while let Some(Piece::Bytes(piece)) = self.pieces.front_mut() {
             let some = written.min(piece.len());
             piece.advance(some);
             written -= some;
@@ -117,6 +228,7 @@
 
     fn die(&mut self, why: &str) {
         self.dead = Some(why.to_owned());
+        self.drop_unsent();
         (self.pieces, self.tail, self.waiting) = (VecDeque::new(), BytesMut::new(), 0);
     }
 }
@@ -161,6 +273,26 @@
         state.dead.is_none()
     }
 
+    /// Queues a request; [`Writer::flush`] words and sends it. False if the connection closes.
+    pub fn put_request(&self, request: Unsent) -> bool {
+        let mut state = self.state();
+        let open = state.dead.is_none() && !state.closing;
+        if open {
+            state.put_request(request);
+        }
+        open
+    }
+
+    /// Takes a request back of which nothing has gone out; false: its first byte has.
+    pub fn withdraw(&self, id: u32) -> bool {
+        self.state().withdraw(id)
+    }
+
+    /// The connection ends: what never began is told so, and does not.
+    pub fn drop_unsent(&self) {
+        self.state().drop_unsent();
+    }
+
     pub fn flush(&self) {
         let mut state = self.state();
         if !state.full {
@@ -252,7 +384,7 @@
                 if state.waiting < MOST {
                     self.room.notify_waiters();
                 }
-                if state.dead.is_some() || state.waiting == 0 {
+                if state.dead.is_some() || state.is_empty() {
                     return state.dead.clone();
                 }
             }
--- a/crates/link/tests/link.rs
+++ b/crates/link/tests/link.rs
@@ -4,6 +4,8 @@
 use pointspindle_link::*;
 use pointspindle_wire::streams::*;
 use pointspindle_wire::*;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
@@ -70,6 +72,70 @@
     assert!(sending.await.unwrap().is_err(), "the cancel reaches the one who waits for credit");
 }
 
+/// Requests whose first byte the socket has not taken: given up they never go out, those that may not begin any more do
+/// not, and at the connection's end the rest is told as not sent; only what went out is told as broken.
+#[tokio::test]
+async fn a_request_begins_with_its_first_byte_and_not_before() {
+    let (here, mut there) = sockets().await;
+    let (caller, _) = Link::start(here, Side::Caller, LinkOptions { max_streams: 4_000 });
+    let asked = Arc::new(AtomicUsize::new(0));
+    let word = |object: String, may: bool| {
+        let asked = asked.clone();
+        let head = ask(&format!("{object}/{}", "x".repeat(12_000)));
+        Box::new(move || {
+            asked.fetch_add(1, Ordering::SeqCst);
+            may.then(|| head.clone())
+        })
+    };
+    // Until nothing more is taken: the last one is asked again at each room, and none of it is out.
+    let mut out = Vec::new();
+    while asked.load(Ordering::SeqCst) <= out.len() && out.len() < 3_000 {
+        let before = asked.load(Ordering::SeqCst);
+        out.push(caller.call_when(word(format!("first {}", out.len()), true)).unwrap());
+        if asked.load(Ordering::SeqCst) == before {
+            break;
+        }
+    }
+    assert!(out.len() < 3_000, "the socket is full at some time");
+    let given_up = caller.call_when(word("given up".into(), true)).unwrap();
+    let mut not_any_more = caller.call_when(word("not any more".into(), false)).unwrap();
+    let mut good = caller.call_when(word("good".into(), true)).unwrap();
+    drop(given_up);
+    // Read on until the good one has come: it stood behind the others.
+    let mut seen = Vec::new();
+    let mut frames = Framed::new(&mut there, FrameCodec::default());
+    loop {
+        let frame = frames.next().await.expect("open").unwrap();
+        if let Frame::Request(_, head) = frame {
+            let object = head.object.split('/').next().unwrap().to_owned();
+            seen.push(object);
+            if seen.last().is_some_and(|o| o == "good") {
+                break;
+            }
+        }
+    }
+    assert!(!seen.iter().any(|o| o == "given up" || o == "not any more"), "{seen:?}");
+    assert_eq!(seen.len(), out.len() + 1, "all others went out");
+    assert_eq!(not_any_more.next().await, Some(Part::End(CallEnd::NotSent)));
+    // Full again, and then the end.
+    let mut last = Vec::new();
+    loop {
+        let before = asked.load(Ordering::SeqCst);
+        last.push(caller.call_when(word("last".into(), true)).unwrap());
+        if asked.load(Ordering::SeqCst) == before {
+            break;
+        }
+    }
+    caller.close("test");
+    let mut ends = Vec::new();
+    for call in &mut last {
+        ends.push(call.next().await);
+    }
+    assert!(matches!(ends[0], Some(Part::End(CallEnd::Broken(_)))), "it went out: {:?}", ends[0]);
+    assert_eq!(ends.last(), Some(&Some(Part::End(CallEnd::NotSent))));
+    assert!(matches!(good.next().await, Some(Part::End(CallEnd::Broken(_)))));
+}
+
 #[tokio::test]
 async fn a_dropped_call_is_cancelled_and_a_dropped_responder_says_it_may_have_run() {
     let (caller, answerer, mut incoming) = pair().await;
