A request whose member has no connection goes before those kept unused; tests of used-up descriptors

Seen: with more members than descriptors for them, requests whose member was met too late were refused at once although 15 connections stood unused (test: request 2 of 200 refused). Checked: log of the attempts: 'attempt ended NotSent' 9 us after its order. Lines at fault: Lines::connection in platform/src/upstream.rs, where 'full' gave up, and may_connect. Change: the connection unused for the longest is closed to make room, one at a time.

--- a/crates/cli/tests/platform/endings.rs
+++ b/crates/cli/tests/platform/endings.rs
@@ -353,6 +353,12 @@
 /// nothing of them is kept.
 #[tokio::test]
 async fn a_close_with_all_open_gives_all_up() {
+    for leaves in ["close", "reset", "half-close"] {
+        all_open_are_given_up(leaves).await;
+    }
+}
+
+async fn all_open_are_given_up(leaves: &str) {
     let (board, mut cache) = (board().await, host(silent_on_a).await);
     let hosts = [listed("s-1", cache.at, "box", "Ready")];
     let dispatcher = Dispatcher::start(board.at, &hosts).await;
@@ -365,7 +371,11 @@
     let more = client.answer(33).await;
     assert_eq!((more.status, more.body.len()), (0, 0), "overloaded, by the protocol's own word");
     let (pull, _) = cache.next("PULL").await;
-    drop(client);
+    match leaves {
+        "half-close" => client.write.shutdown().await.unwrap(),
+        "reset" => client.reset(),
+        _ => drop(client),
+    }
     cache.next(&format!("KILL {}", id_of(&pull))).await;
     // The same ids are free again.
     let mut again = Client::connect(dispatcher.at).await;
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -305,12 +305,23 @@
 
     /// Started, and listening.
     pub async fn spawn(config: impl FnOnce(SocketAddr) -> String) -> Self {
+        Self::spawn_bounded(None, config).await
+    }
+
+    /// ... with so many descriptors, whatever its configuration says.
+    pub async fn spawn_bounded(
+        descriptors: Option<u64>,
+        config: impl FnOnce(SocketAddr) -> String,
+    ) -> Self {
+        let bound = descriptors.map_or(String::new(), |most| format!("ulimit -n {most} && "));
         // The system names a free port; nobody else is given it so soon.
         let at = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("config.json");
         std::fs::write(&file, config(at)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_pointspindle"))
+        let child = Command::new("sh")
+            .args(["-c", &format!("{bound} exec \"$0\" \"$@\"")])
+            .arg(env!("CARGO_BIN_EXE_pointspindle"))
             .args(if std::env::var_os("SHOW").is_some() {
                 &["--log", "debug", "run"][..]
             } else {
@@ -438,6 +449,11 @@
         assert_eq!(self.answer(id).await.status, 0, "an end without an answer");
     }
 
+    /// Leaves with a reset in place of an end.
+    pub fn reset(self) {
+        socket2::SockRef::from(self.write.as_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     pub async fn answer(&mut self, id: u16) -> Answer {
         self.end(id).await.expect("an answer")
     }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -24,7 +24,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, Notify};
@@ -57,9 +57,27 @@
     members: BTreeMap<String, Member>,
     /// Connections open or being made.
     all: usize,
+    /// Those of them that are closed to make room, until they are. One that is made in such a place is one more for that moment:
+    /// the process's own descriptors have room for it.
+    leaving: Vec<Weak<Connection>>,
     dice: StdRng,
 }
 
+impl Locked {
+    /// Closes the connection that has been unused for the longest, where none is closing yet: a request that finds no connection
+    /// to its member goes before those that are kept in case one comes.
+    fn make_room(&mut self) {
+        if !self.leaving.is_empty() {
+            return;
+        }
+        let all = self.members.values().flat_map(|m| &m.connections);
+        let unused = all.filter_map(|c| Some((c.idle_since()?, c)));
+        if let Some((_, longest)) = unused.min_by_key(|(since, _)| *since).filter(|(_, c)| c.retire()) {
+            self.leaving.push(Arc::downgrade(longest));
+        }
+    }
+}
+
 /// See the module's documentation.
 #[derive(Debug)]
 pub struct Lines {
@@ -87,7 +105,7 @@
         let (meet, meetings) = mpsc::unbounded_channel();
         let dice = StdRng::seed_from_u64(shape.seed);
         let lines = Self {
-            locked: Mutex::new(Locked { members: BTreeMap::new(), all: 0, dice }),
+            locked: Mutex::new(Locked { members: BTreeMap::new(), all: 0, leaving: Vec::new(), dice }),
             settings: shape.edge.upstream.clone(),
             most: shape.member_connections,
             each: shape.connections_each,
@@ -152,7 +170,7 @@
     /// Whether a member's connection may be made now; it is counted from here on.
     fn may_connect(&self, locked: &mut Locked, id: &str) -> Option<Duration> {
         let now = self.micros(Instant::now());
-        let full = locked.all >= self.most;
+        let full = locked.all - locked.leaving.len() >= self.most;
         let member = locked.members.get_mut(id)?;
         if full || member.gone || member.connections.len() + member.connecting >= self.each {
             return None;
@@ -201,6 +219,10 @@
                 let wanted = unused + member.connecting < 2;
                 // The next request shall find one that is unused.
                 let full = locked.all >= lines.most;
+                let none = best.is_none() && member.connecting == 0;
+                if full && none {
+                    locked.make_room();
+                }
                 if wanted {
                     if let Some(wait) = lines.may_connect(&mut locked, id) {
                         tokio::spawn(connect(desk.clone(), id.to_owned(), wait));
@@ -297,6 +319,7 @@
     let why = connection.clone().run(socket, lines.meter.clone()).await;
     let mut locked = lines.lock();
     locked.all -= 1;
+    locked.leaving.retain(|left| left.as_ptr() != Arc::as_ptr(&connection));
     let dice = locked.dice.gen();
     if let Some(member) = locked.members.get_mut(&id) {
         member.connections.retain(|c| !Arc::ptr_eq(c, &connection));
