Sums audit: cold hosts under the sum of all, and what begins after its client has left

Change: lab fleet tells the most that a cold member was sent in a window, in requests of mean work, of starts known and not known of, and counts clients that left and attempts after it (bound 0.1 s and the rig's slack; kind 'left'). Scenario cold-sums.ini: 30 dispatchers, restarts of hosts, parents and dispatchers, a burst into the ramp, lists that come late.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -103,6 +103,19 @@
             println!("    in the first second of one that came back: {}", peak(returned, "attempts"));
         }
     }
+    for (cold, what) in [(&mine.cold, "known of"), (&mine.cold_unknown, "not known of")] {
+        if cold.most > 0.0 {
+            println!(
+                "  cold, {what}: {} was sent {:.1} requests of mean work in a window by {} dispatchers, {:.1} allowed, {:.1} at most, at {:.1} s",
+                cold.host, cold.requests, cold.dispatchers, cold.allowed, cold.most, cold.at_s
+            );
+        }
+    }
+    let left = &mine.left;
+    println!(
+        "  clients that left {} ({} before anything had begun); attempts begun after it {}, longest {:.1} ms",
+        left.clients, left.unsent, left.attempts, left.longest_ms
+    );
     println!(
         "  second attempts {:.3} for each first one, worst 2 s {:.3} at {:.0} s; fairness {:.3}, least dispatcher {} served {:.3} (mean {:.3})",
         mine.second_attempts,
--- a/crates/lab/src/audit/mod.rs
+++ b/crates/lab/src/audit/mod.rs
@@ -3,7 +3,7 @@
 //! A dispatcher's own word counts for nothing here. Each rule tells how many cases it looked at, so that one that
 //! was never exercised shows, and each breach names its kind, the try and the moment.
 mod answers;
-mod cold;
+pub mod cold;
 mod drains;
 mod effects;
 mod purges;
--- a/crates/lab/src/audit/sums.rs
+++ b/crates/lab/src/audit/sums.rs
@@ -2,6 +2,7 @@
 //!
 //! From the sights alone, like the rules. Bounds are the day's own (`[sums]` of its file): what a fleet may come to follows from
 //! its size and its settings, which `docs/design/sums.md` turns into figures.
+use super::cold::{self, ColdPeak};
 use super::service::Service;
 use super::{Evidence, Rule};
 use crate::model::Role;
@@ -70,8 +71,26 @@
     pub least_dispatcher: usize,
     pub mean_served: f64,
     pub sites: Vec<Site>,
+    /// The most for a cold member in a window: of starts that those who sent it knew of, and of others.
+    pub cold: ColdPeak,
+    pub cold_unknown: ColdPeak,
+    pub left: Left,
 }
 
+/// Clients that left before their end.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Left {
+    pub clients: u64,
+    /// ... before any attempt had begun.
+    pub unsent: u64,
+    /// Attempts that reached a member after the leaving, and the longest time after it.
+    pub attempts: u64,
+    pub longest_ms: f64,
+}
+
+/// A client that left has gone: whatever begins later than this, the lines' own delays aside, breaks the bound.
+const GONE: Micros = 100_000;
+
 /// How many are under way at a member, by dispatcher.
 #[derive(Default)]
 struct Now {
@@ -95,6 +114,8 @@
     second_attempts(&evidence, &mut sums);
     fairness(&evidence, &mut sums);
     sums.sites = sites(scenario, service);
+    (_, sums.cold, sums.cold_unknown) = cold::look(&evidence);
+    sums.left = left(&evidence);
     sums
 }
 
@@ -157,6 +178,22 @@
     }
 }
 
+fn left(e: &Evidence) -> Left {
+    let mut left = Left::default();
+    for t in &e.tries {
+        let Some((at, _)) = t.ends.iter().find(|(_, end)| *end == End::LeftEarly) else { continue };
+        left.clients += 1;
+        left.unsent += t.attempts.iter().all(|a| a.from > *at) as u64;
+        // What was sent before and held up on a way that was cut off came late by nobody's doing.
+        let parted = |a: &&super::Attempt| e.was_parted(a.by, &a.host, *at, a.from);
+        for late in t.attempts.iter().filter(|a| a.from > *at && !parted(a)) {
+            left.attempts += 1;
+            left.longest_ms = left.longest_ms.max((late.from - at) as f64 / 1e3);
+        }
+    }
+    left
+}
+
 fn fairness(e: &Evidence, sums: &mut Sums) {
     let mut shares: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
     for t in &e.tries {
@@ -234,6 +271,16 @@
         );
         over(&mut rule, "under_way", bounds.under_way, peak.by_weight, peak.at_s, detail);
     }
+    if sums.left.clients > 0 {
+        rule.checked += 1;
+        let (longest, bound) = (sums.left.longest_ms, (GONE + scenario.rules.slack) as f64 / 1e3);
+        if longest > bound {
+            let detail = format!(
+                "an attempt reached a member {longest:.0} ms after its client had left, {bound:.0} at most"
+            );
+            rule.breach("left", 0, None, detail);
+        }
+    }
     let (most, at_s) = (sums.second_attempts_worst, sums.second_attempts_at_s);
     let detail = format!("{most:.2} attempts beyond the first for each first one in 2 s");
     over(&mut rule, "second_attempts", bounds.second_attempts, most, at_s, detail);
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -332,6 +332,14 @@
         (back_off as Micros).max(come_back.unwrap_or(0))
     }
 
+    /// What one request means for a cold member, on the mean: seconds of sending.
+    pub fn mean_work(&self) -> f64 {
+        let models = self.class_models();
+        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
+        let work = self.classes.iter().zip(&models).map(|(c, m)| c.share * m.mean as f64 / 1e6);
+        (work.sum::<f64>() / shares.max(1e-9)).max(1e-9)
+    }
+
     pub fn class_models(&self) -> Vec<ClassModel> {
         let model = |c: &ClassDay| ClassModel {
             name: c.name.clone(),
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -231,3 +231,59 @@
     // One dispatcher served all of its tries, the other none: half of 1.
     assert_eq!((sums.fairness, sums.least_dispatcher, sums.least_served), (0.5, 1, 0.0));
 }
+
+/// An attempt that reaches a member after its client has left: counted, and over 0.1 s (and the rig's slack) a breach.
+#[test]
+fn what_begins_after_its_client_has_left_is_found() {
+    let day = only("power", 1, &[]);
+    let slack = day.rules.slack;
+    for (after, breaches) in [(50_000, 0), (100_000 + slack + 1_000, 1)] {
+        let id = TryId { call: 1, try_no: 0 };
+        let asked =
+            Saw::Asked { id, dispatcher: 0, class: 0, number: 0, group: 0, part: 0, deadline: 9_000_000 };
+        let reached = Saw::Reached {
+            host: "a:1".into(),
+            by: Some(0),
+            id: Some(id),
+            attempt: 0,
+            source: None,
+            class: 0,
+        };
+        let sights = [
+            Sight { at: 1_000_000, saw: asked },
+            Sight { at: 2_000_000, saw: Saw::Ended { id, end: End::LeftEarly } },
+            Sight { at: 2_000_000 + after, saw: reached },
+        ];
+        let sums = sums(&day, &Default::default(), &sights);
+        let left = &sums.left;
+        assert_eq!((left.clients, left.unsent, left.attempts), (1, 1, 1));
+        assert_eq!(left.longest_ms, after as f64 / 1e3);
+        let kinds = judge(&day, &sums, None).kinds();
+        assert_eq!(kinds.iter().filter(|(kind, _)| kind == "left").count(), breaches, "{kinds:?}");
+    }
+}
+
+/// Cold hosts under the sum of all, whatever the dispatchers' number: within what they bear where the start was known, and over it
+/// where each thinks that it is alone.
+#[test]
+fn cold_hosts_are_within_the_sum_of_all_and_a_wrong_count_shows() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/cold-sums.ini");
+    for (dispatchers, plant) in [(7, None), (10, None), (100, None), (10, Some(Plant::Alone))] {
+        for seed in [41, 42, 43] {
+            let set = format!("fleet.dispatchers={dispatchers}").parse().unwrap();
+            let day = load_with(&file, Some(seed), &[set]).unwrap_or_else(|e| panic!("{e}"));
+            let (outcome, sums) = play(&day, plant);
+            let cold = &sums.cold;
+            assert!(cold.most > 0.0, "there was a cold host that was known of");
+            println!("{dispatchers} a site: {cold:?}");
+            assert!(sums.left.clients > 0);
+            if plant.is_none() {
+                assert_eq!((broken(&outcome.rules), judge(&day, &sums, None).kinds()), (vec![], vec![]));
+                assert!(cold.requests <= cold.allowed, "{cold:?}");
+            } else {
+                assert!(broken(&outcome.rules).contains(&"cold"));
+                assert!(cold.requests > cold.allowed, "{cold:?}");
+            }
+        }
+    }
+}
