Scale run: hollow dispatchers and cache hosts, costs by kind of message, slopes, capacity page

Need: the fleet ahead (590 dispatchers) decides the design; its costs are to be measured by size. Change: Prepared::hollow is the seam, a dispatcher without doors and nothing else left out; lab scale plays start, rest, purges, changes, a storm, restarts, the store away, compacted and its streams broken, with the store's stand-in, dispatchers and hosts as processes; the stand-in counts messages and bytes by kind; slopes by least squares with residuals and bends; lab capacity writes the page.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,5 +1,5 @@
 //! `pointspindle lab`: rehearse days on loopback and judge them.
-use crate::{etcd, experiments, fleet, idle, watch, Failure};
+use crate::{etcd, experiments, fleet, idle, scale, watch, Failure};
 use pointspindle_lab::audit::{fallen, Rule};
 use pointspindle_lab::day::{self, Outcome, Plant};
 use pointspindle_lab::import;
@@ -32,6 +32,14 @@
     Idle(idle::IdleArguments),
     /// Measure how late watchers of a stand-in etcd learn of purges while its streams break. Exit status 1: one never did.
     Etcd(etcd::MeasureArguments),
+    /// Measure what control costs by the fleet's size: hollow dispatchers and cache hosts as processes. Exit status 1: over a
+    /// budget, or a word never came; 2: the rig could not run.
+    Scale(scale::ScaleArguments),
+    /// A process of a scale run.
+    #[command(hide = true)]
+    ScalePart,
+    /// Write the capacity page from measured slopes, on standard output.
+    Capacity(scale::CapacityArguments),
     /// Show everything that happened to a request of a kept run.
     Explain(experiments::ExplainArguments),
     /// Check a scenario; names line and reason of everything that is wrong.
@@ -119,6 +127,9 @@
         Command::Hunt(arguments) => experiments::hunt(arguments),
         Command::Report(arguments) => experiments::report(arguments),
         Command::Explain(arguments) => experiments::explain(arguments),
+        Command::Scale(a) => scale::scale(a).await,
+        Command::ScalePart => scale::part().await,
+        Command::Capacity(a) => scale::capacity(a),
         Command::Etcd(arguments) => etcd::lag(arguments).await,
         Command::Idle(arguments) => idle::idle(arguments).await,
         Command::Import { day, full } => {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod lab;
 mod logs;
 mod run;
+mod scale;
 mod serve;
 mod watch;
 
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -287,6 +287,11 @@
         std::mem::take(&mut self.ends)
     }
 
+    /// Members, purges and dispatchers that are kept.
+    pub fn kept(&mut self, now: Micros) -> (usize, usize, usize) {
+        (self.list.whole(now).members.len(), self.purges.recent(now).len(), self.peers.len())
+    }
+
     /// What is worth keeping over a restart.
     pub fn snapshot(&mut self, now: Micros) -> state::Snapshot {
         state::Snapshot::new(self.list.whole(now), self.purges.recent(now))
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,5 +19,5 @@
 pub mod source;
 
 pub use crate::core::{Ask, Core, Input, Output};
-pub use net::{Bound, Dispatcher, Prepared, StartError};
-pub use source::{Source, Teller};
+pub use net::{Bound, Dispatcher, Hollow, Items, Prepared, StartError};
+pub use source::{Ears, Source, Teller, Told};
--- a/crates/edge/src/net/control.rs
+++ b/crates/edge/src/net/control.rs
@@ -8,7 +8,7 @@
 
 pub(crate) async fn serve(door: Door, socket: Line) {
     let (link, mut incoming) = Link::start(socket, Side::Answerer, LinkOptions { max_streams: 1 });
-    let teller = Teller { hub: door.hub.clone() };
+    let teller = Teller { ears: None, hub: door.hub.clone() };
     loop {
         let inbound = tokio::select! {
             inbound = incoming.next() => inbound,
--- a/crates/edge/src/net/desk.rs
+++ b/crates/edge/src/net/desk.rs
@@ -238,6 +238,12 @@
         self.lock().core.members(now)
     }
 
+    /// Members, purges and dispatchers that are kept.
+    pub fn kept(&self) -> (usize, usize, usize) {
+        let now = self.now();
+        self.lock().core.kept(now)
+    }
+
     pub fn snapshot(&self) -> crate::core::state::Snapshot {
         let now = self.now();
         self.lock().core.snapshot(now)
--- a/crates/edge/src/net/mod.rs
+++ b/crates/edge/src/net/mod.rs
@@ -81,10 +81,20 @@
 
     /// Lists, purges and counts come from this source too, for as long as the dispatcher runs.
     pub fn follow(&mut self, source: impl crate::source::Source) {
-        let teller = crate::source::Teller { hub: self.hub.clone() };
+        let teller = crate::source::Teller { hub: self.hub.clone(), ears: None };
         self.helpers.spawn(source.run(teller));
     }
 
+    /// The dispatcher without its doors: registration, list, purges, counts, connections to members and state file, all as ever.
+    /// For rehearsals of many on one machine; `ears` hear what has come into force.
+    pub fn hollow(self, source: impl crate::source::Source, ears: crate::source::Ears) -> Hollow {
+        let Self { hub, wished, mut helpers, .. } = self;
+        let teller = crate::source::Teller { hub: hub.clone(), ears: Some(ears) };
+        helpers.spawn(source.run(teller));
+        follow_up(&hub, wished, &mut helpers);
+        Hollow { hub, _helpers: helpers }
+    }
+
     /// Waits for the source's view to be current. False: it was not in time.
     pub async fn heard(&self, longest: Duration) -> bool {
         let mut view = self.hub.view.subscribe();
@@ -146,18 +156,53 @@
                 drop(seat);
             }));
         }
-        helpers.spawn(desk::run_timers(hub.clone()));
-        helpers.spawn(upstream::sweep(hub.clone()));
-        helpers.spawn(upstream::carry_out(hub.clone(), wished));
-        if settings.state_file.is_some() {
-            helpers.spawn(saver::run(hub.clone()));
-        }
+        follow_up(&hub, wished, &mut helpers);
         tracing::info!(name = %settings.name, ?bound, "dispatcher listens");
         Ok(Dispatcher { hub, bound, stop, doors, helpers, identity })
     }
 }
 
+/// What goes on beside the doors.
+fn follow_up(
+    hub: &Arc<Hub>,
+    wished: tokio::sync::mpsc::UnboundedReceiver<upstream::Wish>,
+    helpers: &mut JoinSet<()>,
+) {
+    helpers.spawn(desk::run_timers(hub.clone()));
+    helpers.spawn(upstream::sweep(hub.clone()));
+    helpers.spawn(upstream::carry_out(hub.clone(), wished));
+    if hub.settings.state_file.is_some() {
+        helpers.spawn(saver::run(hub.clone()));
+    }
+}
+
+/// A dispatcher without doors ([`Prepared::hollow`]); it ends when it is dropped.
+#[derive(Debug)]
+pub struct Hollow {
+    hub: Arc<Hub>,
+    _helpers: JoinSet<()>,
+}
+
+/// How much a dispatcher keeps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Items {
+    pub members: usize,
+    pub purges: usize,
+    pub dispatchers: usize,
+    pub connections: usize,
+}
+
+impl Hollow {
+    pub fn items(&self) -> Items {
+        self.hub.items()
+    }
+}
+
 impl Dispatcher {
+    pub fn items(&self) -> Items {
+        self.hub.items()
+    }
+
     /// Reads the state file, takes the static list if there is no state, and listens.
     pub async fn start(settings: EdgeSettings, seed: u64) -> Result<Self, StartError> {
         Self::start_on(Net::Tcp, settings, seed).await
--- a/crates/edge/src/net/upstream.rs
+++ b/crates/edge/src/net/upstream.rs
@@ -60,6 +60,13 @@
     }
 }
 
+impl Hub {
+    pub(crate) fn items(&self) -> super::Items {
+        let (members, purges, dispatchers) = self.kept();
+        super::Items { members, purges, dispatchers, connections: self.side.pool.count() }
+    }
+}
+
 impl MemberSide for Framed {
     type Call = Call;
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -94,6 +94,15 @@
     }
 
     /// Whether the source's view is current.
+    /// Dispatchers that are registered.
+    pub fn len(&self) -> usize {
+        self.roster.as_ref().map_or(0, |r| r.len())
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     pub fn view(&mut self, current: bool) {
         self.current = current;
     }
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -11,19 +11,52 @@
     fn run(self, teller: Teller) -> impl std::future::Future<Output = ()> + Send;
 }
 
+/// What has just come into force: for who measures a source.
+#[derive(Clone, Copy, Debug)]
+pub enum Told<'a> {
+    Members(&'a ListHead),
+    Purge(&'a PurgeHead),
+    View(bool),
+}
+
+/// Hears each word once it is in force, on the task that told it.
+pub type Ears = Arc<dyn Fn(Told<'_>) + Send + Sync>;
+
 /// The way into a dispatcher. What is told is in force when the method returns.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Teller {
     pub(crate) hub: Arc<Hub>,
+    pub(crate) ears: Option<Ears>,
+}
+
+impl std::fmt::Debug for Teller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Teller").field("hub", &self.hub).finish_non_exhaustive()
+    }
 }
 
 impl Teller {
+    fn told(&self, told: Told<'_>) {
+        if let Some(ears) = &self.ears {
+            ears(told);
+        }
+    }
+
     pub fn members(&self, head: ListHead) -> ListNews {
-        self.hub.members(head)
+        let heard = self.ears.is_some().then(|| head.clone());
+        let news = self.hub.members(head);
+        if let Some(head) = &heard {
+            self.told(Told::Members(head));
+        }
+        news
     }
 
     pub fn purge(&self, head: PurgeHead) {
+        let heard = self.ears.is_some().then(|| head.clone());
         self.hub.purge(head);
+        if let Some(head) = &heard {
+            self.told(Told::Purge(head));
+        }
     }
 
     /// Purges may have been missed, nobody knows which: every copy from before now counts as purged.
@@ -48,6 +81,7 @@
         self.hub.metrics.source_current.set(current.into());
         self.hub.tell(Input::View(current));
         self.hub.view.send_replace(current);
+        self.told(Told::View(current));
     }
 
     /// Something of the source could not be used.
--- a/crates/lab/src/etcd/mod.rs
+++ b/crates/lab/src/etcd/mod.rs
@@ -1,10 +1,12 @@
 //! A stand-in etcd: its v3 API over real gRPC in front of [`store::Store`], with faults on demand. One member, nothing on disk.
 pub mod measure;
 mod store;
+pub mod traffic;
 mod watches;
 
 pub use store::{Refused, Store};
 
+use futures_util::StreamExt;
 use pointspindle::Micros;
 use pointspindle_etcd::client::stubs::auth_server::{Auth, AuthServer};
 use pointspindle_etcd::client::stubs::k_v_server::{KVServer, KV};
@@ -49,6 +51,7 @@
     faults: watch::Sender<Faults>,
     user: Option<(String, String)>,
     born: Instant,
+    traffic: traffic::Traffic,
 }
 
 /// Clones are the same cluster.
@@ -73,6 +76,7 @@
             faults: watch::channel(Faults::default()).0,
             user,
             born: Instant::now(),
+            traffic: traffic::Traffic::default(),
         };
         Self { inner: Arc::new(inner) }
     }
@@ -82,6 +86,8 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
         let at = listener.local_addr()?;
         let incoming = TcpIncoming::from_listener(listener, true, None).map_err(std::io::Error::other)?;
+        let counted = self.inner.traffic.sockets();
+        let incoming = incoming.map(move |socket| socket.map(|socket| counted.count(socket)));
         let serve = tonic::transport::Server::builder()
             .add_service(KVServer::new(self.clone()))
             .add_service(WatchServer::new(self.clone()))
@@ -103,6 +109,11 @@
         self.inner.store.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// What has gone over the wire since the start, by kind of message.
+    pub fn traffic(&self) -> &traffic::Traffic {
+        &self.inner.traffic
+    }
+
     fn now(&self) -> Micros {
         self.inner.born.elapsed().as_micros() as Micros
     }
@@ -184,7 +195,10 @@
 impl KV for StandIn {
     async fn range(&self, request: Request<RangeRequest>) -> Result<Response<RangeResponse>, Status> {
         self.admit(request.metadata()).await?;
-        self.store().range(request.get_ref()).map(Response::new).map_err(refused)
+        let answer = self.store().range(request.get_ref()).map_err(refused)?;
+        let kind = if request.get_ref().range_end.is_empty() { "read" } else { "snapshot" };
+        self.inner.traffic.call(kind, request.get_ref(), &answer);
+        Ok(Response::new(answer))
     }
 
     async fn put(&self, request: Request<PutRequest>) -> Result<Response<PutResponse>, Status> {
@@ -212,8 +226,9 @@
 
     async fn txn(&self, request: Request<TxnRequest>) -> Result<Response<TxnResponse>, Status> {
         self.admit(request.metadata()).await?;
-        let done = self.change(|store, _| store.txn(request.get_ref()));
-        done.map(Response::new).map_err(refused)
+        let done = self.change(|store, _| store.txn(request.get_ref())).map_err(refused)?;
+        self.inner.traffic.call(traffic::of_write(request.get_ref()), request.get_ref(), &done);
+        Ok(Response::new(done))
     }
 
     async fn compact(
@@ -238,7 +253,9 @@
         let ttl = request.get_ref().ttl;
         let id = self.change(|store, now| store.grant(now, ttl));
         let (header, error) = (Some(self.look(Store::header)), String::new());
-        Ok(Response::new(LeaseGrantResponse { header, id, ttl, error }))
+        let answer = LeaseGrantResponse { header, id, ttl, error };
+        self.inner.traffic.call("lease granted", request.get_ref(), &answer);
+        Ok(Response::new(answer))
     }
 
     async fn lease_revoke(
@@ -259,9 +276,11 @@
         self.admit(request.metadata()).await?;
         let state = (self.clone(), request.into_inner());
         let answers = futures_util::stream::unfold(state, |(etcd, mut asked)| async move {
-            let id = asked.message().await.ok()??.id;
+            let question = asked.message().await.ok()??;
+            let id = question.id;
             let ttl = etcd.change(|store, now| store.keep_alive(now, id));
             let answer = LeaseKeepAliveResponse { header: Some(etcd.look(Store::header)), id, ttl };
+            etcd.inner.traffic.call("lease kept", &question, &answer);
             Some((Ok(answer), (etcd, asked)))
         });
         Ok(Response::new(Box::pin(answers)))
--- a/crates/lab/src/etcd/watches.rs
+++ b/crates/lab/src/etcd/watches.rs
@@ -87,6 +87,7 @@
     }
 
     async fn say(&self, answer: WatchResponse) -> Result<(), Over> {
+        self.etcd.inner.traffic.told(&answer);
         let delay = self.etcd.inner.faults.borrow().delay;
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
@@ -95,6 +96,7 @@
     }
 
     async fn asked(&mut self, asked: WatchRequest) -> Result<(), Over> {
+        self.etcd.inner.traffic.asked(&asked);
         match asked.request {
             Some(watch_request::Request::Create(create)) => {
                 let (header, compacted) = self.etcd.look(|s| (s.header(), s.compacted()));
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod import;
 pub mod model;
 pub mod record;
+pub mod scale;
 pub mod scenario;
 pub mod sockets;
 pub mod virt;
