The promise of purges: who cannot prove that all are known holds back older copies by itself

Need: nobody knows when a purge is done everywhere; a dispatcher that is cut off serves what was purged for as long as that takes (before: no bound). Change: etcd.purge_within_ms (0: none). Each purge leaves a mark in its transaction; a dispatcher reads it through the cluster's agreement six times in the promised time and, once its view has reached that revision, has a lease of half of the promise from the moment of its question. Without one no attempt begins with a copy older than the other half (Core::begin). Metrics held_back, purges_proven; a line in the log at each change.

--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -57,6 +57,9 @@
     /// How long ago it was purged, milliseconds.
     #[arg(long, default_value_t = 0, conflicts_with = "etcd")]
     age_ms: u64,
+    /// Return once it is in force everywhere, by all dispatchers' promise. Exit status 1: one of them promises nothing.
+    #[arg(long, requires = "etcd", conflicts_with = "at")]
+    wait: bool,
 }
 
 /// Sends one control frame and waits for the answer to it.
@@ -183,7 +186,7 @@
     let named = arguments.group_of.as_deref().map(|g| ObjectId::named(g.trim_end_matches('/')).0);
     let group = named.or(arguments.group).unwrap_or(0);
     if !arguments.through.etcd.is_empty() {
-        return arguments.through.purge(arguments.object, group).await;
+        return arguments.through.purge(arguments.object, group, arguments.wait).await;
     }
     let head = PurgeHead { object: arguments.object, group, age_us: arguments.age_ms * 1_000, seq: 1 };
     let mut failed = Vec::new();
--- a/crates/cli/src/etcd.rs
+++ b/crates/cli/src/etcd.rs
@@ -37,10 +37,35 @@
         Ok(Etcd::new(&access, Duration::from_secs(3))?)
     }
 
-    pub async fn purge(&self, object: Option<String>, group: u64) -> Result<(), Failure> {
+    pub async fn purge(&self, object: Option<String>, group: u64, wait: bool) -> Result<(), Failure> {
         let etcd = self.open()?;
         let revision = writer::purge(&etcd, &self.prefix, &PurgeRecord { object, group }).await?;
         println!("purged at revision {revision}");
+        // Asked after the write: who registers from now on has read it.
+        let promise = writer::promise(&etcd, &self.prefix).await?;
+        if promise.without.is_empty() && promise.dispatchers > 0 {
+            println!(
+                "in force at all {} dispatchers within {} ms of that, by their own promise",
+                promise.dispatchers, promise.within_ms
+            );
+            if wait {
+                tokio::time::sleep(Duration::from_millis(promise.within_ms)).await;
+                println!("in force everywhere");
+            }
+            return Ok(());
+        }
+        let some: Vec<&str> = promise.without.iter().take(5).map(String::as_str).collect();
+        let (all, none) = (promise.dispatchers, promise.without.len());
+        println!(
+            "no time can be told: {none} of {all} dispatchers promise none (purge_within_ms){}",
+            match some[..] {
+                [] => String::new(),
+                _ => format!(": {} ...", some.join(", ")),
+            }
+        );
+        if wait {
+            return Err(Failure::No);
+        }
         Ok(())
     }
 
--- /dev/null
+++ b/crates/cli/tests/purge_promise.rs
@@ -0,0 +1,217 @@
+//! The promise of purges by processes: dispatchers that are cut off from the control store, stand still, or start while everything is
+//! cut hold back by themselves what a purge might have struck; and an operator is told when one is in force everywhere.
+use pointspindle_etcd::layout::{MemberRecord, State};
+use pointspindle_etcd::{writer, Access, Etcd};
+use pointspindle_lab::etcd::StandIn;
+use pointspindle_link::{Inbound, Link, LinkOptions};
+use pointspindle_wire::streams::Side;
+use pointspindle_wire::*;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(15);
+const PREFIX: &str = "/promise";
+/// Half of the promise: the oldest copy of who cannot prove anything.
+const HALF: u64 = 750_000;
+
+/// A cache host that answers everything, and tells how old a copy may be for each object.
+async fn member() -> (SocketAddr, mpsc::UnboundedReceiver<(String, u64)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    let (tell, told) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            let tell = tell.clone();
+            tokio::spawn(async move {
+                let (_link, mut incoming) = Link::start(socket, Side::Answerer, LinkOptions::default());
+                while let Some(inbound) = incoming.next().await {
+                    let Inbound::Request(head, mut responder) = inbound else { continue };
+                    let age = head.fetch.as_ref().map_or(0, |f| f.age_us);
+                    let _ = tell.send((head.object.clone(), age));
+                    let answer =
+                        AnswerHead { size: Some(2), note: WireNote::Hit as i32, ..Default::default() };
+                    let _ = responder.head(answer).await;
+                    let _ = responder.data("ok".into()).await;
+                    let _ = responder.end(None).await;
+                }
+            });
+        }
+    });
+    (at, told)
+}
+
+struct Dispatcher {
+    child: Child,
+    http: SocketAddr,
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Dispatcher {
+    async fn start(folder: &Path, name: &str, etcd: SocketAddr, promise_ms: u64) -> Self {
+        let file = folder.join(format!("{name}.ini"));
+        let ready: PathBuf = folder.join(format!("{name}.ready"));
+        let state = folder.join("state");
+        let text = format!(
+            "[dispatcher]\nname = {name}\nzone = b\nstate_file = {}\n[listen]\nhttp = 127.0.0.1:0\n\
+             [zone b]\ndispatchers = 1\n\
+             [etcd]\nendpoints = http://{etcd}\nprefix = {PREFIX}\nstart_wait_ms = 500\npurge_within_ms = {promise_ms}\n\
+             [class page]\npath_prefix = /page/\nfresh_ms = 60000\ngrace_ms = 60000\n\
+             [class spared]\npath_prefix = /spared/\nfresh_ms = 60000\ngrace_ms = 60000\npurge_exempt = yes\n",
+            state.display()
+        );
+        std::fs::write(&file, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_pointspindle"))
+            .args(["--log", "error", "serve"])
+            .arg(&file)
+            .arg("--ready-file")
+            .arg(&ready)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let bound = async {
+            loop {
+                if let Ok(text) = std::fs::read(&ready) {
+                    return serde_json::from_slice::<serde_json::Value>(&text).unwrap();
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let bound = timeout(PATIENCE, bound).await.expect("it listens");
+        Self { child, http: bound["http"].as_str().unwrap().parse().unwrap() }
+    }
+
+    async fn get(&self, path: &str) -> String {
+        let mut socket = TcpStream::connect(self.http).await.unwrap();
+        ask(&mut socket, path).await;
+        let mut text = String::new();
+        timeout(PATIENCE, socket.read_to_string(&mut text)).await.expect("an answer").unwrap();
+        text
+    }
+
+    fn signal(&self, name: &str) {
+        assert!(Command::new("kill")
+            .arg(name)
+            .arg(self.child.id().to_string())
+            .status()
+            .unwrap()
+            .success());
+    }
+}
+
+async fn ask(socket: &mut TcpStream, path: &str) {
+    let text = format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    socket.write_all(text.as_bytes()).await.unwrap();
+}
+
+type Ages = mpsc::UnboundedReceiver<(String, u64)>;
+
+/// Asks until a copy's age is as wanted, each time for another object.
+async fn until(what: &str, d: &Dispatcher, ages: &mut Ages, is: impl Fn(u64) -> bool) {
+    let asking = async {
+        for n in 0.. {
+            if d.get(&format!("/page/{what}-{n}")).await.starts_with("HTTP/1.1 200") {
+                let (_, age) = ages.recv().await.unwrap();
+                if is(age) {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, asking).await.unwrap_or_else(|_| panic!("{what}: not in time"));
+}
+
+async fn purge(etcd: SocketAddr) -> Output {
+    let at = format!("http://{etcd}");
+    let run = move || {
+        let args = ["purge", "--etcd", &at, "--prefix", PREFIX, "--object", "/page/x", "--wait"];
+        Command::new(env!("CARGO_BIN_EXE_pointspindle")).args(args).output().unwrap()
+    };
+    tokio::task::spawn_blocking(run).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn who_cannot_prove_that_purges_are_known_holds_back_by_itself() {
+    let store = StandIn::new(None);
+    let etcd = store.listen().await.unwrap();
+    let access = Access { endpoints: vec![format!("http://{etcd}")], ..Default::default() };
+    let client = Etcd::new(&access, Duration::from_secs(5)).unwrap();
+    let (at, mut ages) = member().await;
+    let record = MemberRecord {
+        state: State::Ready,
+        weight: 50.0,
+        zone: "b".into(),
+        kind: "cache".into(),
+        cell: 0,
+        start: 1,
+        started_unix_ms: None,
+    };
+    writer::member(&client, PREFIX, &at.to_string(), |_| Ok(Some(record.clone()))).await.unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let d = Dispatcher::start(folder.path(), "one", etcd, 1_500).await;
+    until("proven", &d, &mut ages, |age| age > HALF).await;
+
+    // Cut off in silence: no connection breaks, nothing more is said.
+    store.fault(|f| f.silent = true);
+    until("cut", &d, &mut ages, |age| age > 0 && age <= HALF).await;
+    let spared = d.get("/spared/1").await;
+    assert!(spared.starts_with("HTTP/1.1 200"), "{spared}");
+    assert!(ages.recv().await.unwrap().1 > HALF, "by the operator's word");
+    store.fault(|f| f.silent = false);
+    until("back", &d, &mut ages, |age| age > HALF).await;
+
+    // Stopped for longer than its proof holds, and cut off meanwhile: the first request after is held back.
+    let mut first = TcpStream::connect(d.http).await.unwrap();
+    d.signal("-STOP");
+    store.fault(|f| f.silent = true);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    ask(&mut first, "/page/woken").await;
+    d.signal("-CONT");
+    let mut text = String::new();
+    timeout(PATIENCE, first.read_to_string(&mut text)).await.expect("an answer").unwrap();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    let (object, age) = ages.recv().await.unwrap();
+    assert!(object.contains("woken") && age > 0 && age <= HALF, "{object} {age}");
+
+    // Started while everything is cut, with the list of its state file.
+    let late = Dispatcher::start(folder.path(), "late", etcd, 1_500).await;
+    until("late", &late, &mut ages, |age| age > 0).await;
+    let answer = late.get("/page/late").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let (_, age) = ages.recv().await.unwrap();
+    assert!(age > 0 && age <= HALF, "{age}");
+    store.fault(|f| f.silent = false);
+    until("late-back", &late, &mut ages, |age| age > HALF).await;
+
+    // The operator is told when it is in force everywhere; and where one promises nothing, that.
+    let told = purge(etcd).await;
+    let text = String::from_utf8_lossy(&told.stdout).into_owned();
+    assert!(told.status.success() && text.contains("in force everywhere"), "{text}");
+    assert!(text.contains("within 1500 ms"), "{text}");
+    let old = Dispatcher::start(folder.path(), "old", etcd, 0).await;
+    until("old", &old, &mut ages, |age| age > HALF).await;
+    let registered = async {
+        loop {
+            let told = purge(etcd).await;
+            let text = String::from_utf8_lossy(&told.stdout).into_owned();
+            if told.status.code() == Some(1) {
+                return text;
+            }
+            assert!(text.contains("in force everywhere"), "{text}");
+        }
+    };
+    let text = timeout(PATIENCE, registered).await.expect("it registers");
+    assert!(text.contains("no time can be told") && text.contains("old"), "{text}");
+}
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -85,6 +85,8 @@
     pub patience_us: u64,
     /// Longest wait for the lists before the doors open with what is known from before.
     pub start_wait_us: u64,
+    /// The promise that a purge is in force here so long after its write was acknowledged, whatever happens; 0: none is given.
+    pub purge_within_us: u64,
 }
 
 /// Connections to members.
@@ -116,6 +118,8 @@
     pub path_prefix: Option<String>,
     /// How long a client waits that does not say; the most that one may say.
     pub deadline_us: u64,
+    /// Copies of it are served as ever where purges cannot be proven to be known (`etcd.purge_within_ms`).
+    pub purge_exempt: bool,
 }
 
 /// All of a dispatcher's settings.
@@ -349,6 +353,10 @@
     let lease_s = r.number("etcd", "lease_s", 5, 2, 600);
     let patience_us = r.ms("etcd", "timeout_ms", 1_000.0, 10.0, MINUTE);
     let start_wait_us = r.ms("etcd", "start_wait_ms", 2_000.0, 0.0, MINUTE);
+    let purge_within_us = r.ms("etcd", "purge_within_ms", 0.0, 0.0, MINUTE);
+    if (1..300_000).contains(&purge_within_us) {
+        r.complain("etcd", "purge_within_ms", "0 for no promise, or at least 300");
+    }
     if endpoints.is_empty() {
         if r.has("etcd") {
             r.complain("etcd", "endpoints", "missing, such as http://127.0.0.1:2379");
@@ -356,7 +364,17 @@
         return None;
     }
     let (identity, user) = (certificate.zip(key), user.zip(password));
-    Some(EtcdSettings { endpoints, prefix, authority, identity, user, lease_s, patience_us, start_wait_us })
+    Some(EtcdSettings {
+        endpoints,
+        prefix,
+        authority,
+        identity,
+        user,
+        lease_s,
+        patience_us,
+        start_wait_us,
+        purge_within_us,
+    })
 }
 
 fn tls(r: &mut Reader, listen: &Listen) -> Option<Tls> {
@@ -447,7 +465,8 @@
     if class.grace > 0 && class.fresh == 0 {
         r.complain(&section, "grace_ms", "without fresh_ms a copy never grows old");
     }
-    (ClassSpec { name, path_prefix, deadline_us }, class)
+    let purge_exempt = r.flag(&section, "purge_exempt", false);
+    (ClassSpec { name, path_prefix, deadline_us, purge_exempt }, class)
 }
 
 pub(crate) fn cold(r: &mut Reader, section: &str) -> ColdRule {
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! Kept: an entry for each open request, dropped with its last attempt's end; two timers for each at most; a
 //! line for each listed member, dropped a minute after it is gone; purges until no older copy can be left.
 mod asks;
+mod hold;
 mod list;
 mod purges;
 pub mod state;
@@ -13,6 +14,7 @@
 
 use crate::peers::{Counts, Peers, Roster};
 use asks::Asks;
+use hold::Hold;
 use list::MemberList;
 use pointspindle::*;
 use pointspindle_config::{EdgeSettings, Role};
@@ -98,6 +100,10 @@
     },
     /// Whether lists, purges and the roster are as new as they should be.
     View(bool),
+    /// All purges that were acknowledged up to so long ago are in force here ([`hold`]).
+    Proven {
+        ago: Micros,
+    },
     /// Time has passed.
     Tick,
 }
@@ -200,10 +206,13 @@
     pub age: Micros,
     /// It may join a fill that is under way.
     pub join: bool,
+    /// No older copy is used, since purges that may have struck it cannot be proven to be known.
+    pub held: bool,
 }
 
 #[derive(Debug, Default)]
 struct Open {
+    class: usize,
     object: ObjectId,
     group: u64,
     /// Attempts made so far; the router numbers them in this order.
@@ -231,6 +240,7 @@
     /// older copy can be left.
     missed: Option<(Micros, BTreeSet<u64>)>,
     purge_done: Micros,
+    hold: Option<Hold>,
     /// Own zone.
     zone: usize,
     open: BTreeMap<u64, Open>,
@@ -256,6 +266,7 @@
             count_at: None,
             missed: None,
             purge_done: settings.router.purge_done,
+            hold: Hold::of(settings),
             zone: settings.router.zone,
             open: BTreeMap::new(),
             timers: Timers::default(),
@@ -287,6 +298,11 @@
         std::mem::take(&mut self.ends)
     }
 
+    /// Whether purges are proven to be known, where that is promised.
+    pub fn is_proven(&self, now: Micros) -> Option<bool> {
+        self.hold.as_ref().map(|h| h.is_proven(now))
+    }
+
     /// Members, purges and dispatchers that are kept.
     pub fn kept(&mut self, now: Micros) -> (usize, usize, usize) {
         (self.list.whole(now).members.len(), self.purges.recent(now).len(), self.peers.len())
@@ -306,7 +322,8 @@
         match input {
             Input::Request(id, ask) => {
                 let object = ObjectId::named(&ask.object);
-                self.open.insert(id, Open { object, group: ask.group, ..Open::default() });
+                self.open
+                    .insert(id, Open { class: ask.class, object, group: ask.group, ..Open::default() });
                 let request = Request {
                     id: RequestId(id),
                     class: ask.class,
@@ -416,6 +433,11 @@
                 self.peers.view(current);
                 self.count(now);
             }
+            Input::Proven { ago } => {
+                if let Some(hold) = &mut self.hold {
+                    hold.proven(now.saturating_sub(ago));
+                }
+            }
             Input::Tick => self.tick(now, out),
         }
     }
@@ -429,9 +451,16 @@
         if !self.may_begin(now, request, attempt) {
             return None;
         }
-        let ordered = self.open.get_mut(&request)?.out.as_mut()?;
+        let open = self.open.get_mut(&request)?;
+        // Judged here and not by a timer: a process that stood still goes on with a request.
+        let limit = self.hold.as_ref().and_then(|h| h.limit(now, open.class));
+        let ordered = open.out.as_mut()?;
+        if let Some(limit) = limit {
+            ordered.no_older(limit);
+        }
         ordered.begun = true;
-        Some(Begin { left: ordered.due - now, age: ordered.age, join: ordered.join })
+        let (age, join) = (ordered.age, ordered.join);
+        Some(Begin { left: ordered.due - now, age, join, held: limit.is_some() })
     }
 
     /// The same question without the promise, for what still waits.
--- a/crates/edge/src/net/desk.rs
+++ b/crates/edge/src/net/desk.rs
@@ -13,6 +13,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch, Notify};
@@ -113,6 +114,8 @@
     budget: Budget,
     /// Whether a source has told that its view is current.
     pub(crate) view: watch::Sender<bool>,
+    /// Older copies have been held back since the last proof ([`Input::Proven`]).
+    holding: AtomicBool,
     /// Connections to members.
     pub side: S,
 }
@@ -135,6 +138,7 @@
             meter,
             budget,
             view: watch::channel(false).0,
+            holding: AtomicBool::new(false),
             metrics: Metrics::new(&settings),
             settings,
         }
@@ -180,12 +184,33 @@
         // No clock is read ahead of the lock: the core's time never runs backwards.
         let now = self.now();
         let begin = locked.core.begin(now, ticket.request, ticket.attempt);
-        if begin.is_none() {
+        let Some(terms) = &begin else {
             self.metrics.not_begun.inc();
+            return None;
+        };
+        if terms.held {
+            self.metrics.held_back.inc();
+            if !self.holding.swap(true, Ordering::Relaxed) {
+                tracing::warn!("purges cannot be proven to be known; older copies are held back");
+            }
         }
         begin
     }
 
+    /// All purges that were acknowledged up to so long ago are in force.
+    pub fn proven(&self, ago: Micros) {
+        self.tell(Input::Proven { ago });
+        if self.holding.swap(false, Ordering::Relaxed) {
+            tracing::info!("purges are proven to be known again; copies are used as ever");
+        }
+    }
+
+    /// Whether purges are proven to be known, where that is promised.
+    pub fn is_proven(&self) -> Option<bool> {
+        let now = self.now();
+        self.lock().core.is_proven(now)
+    }
+
     /// Whether an attempt that still waits may begin at all.
     pub fn may_begin(&self, ticket: Ticket) -> bool {
         let now = self.now();
--- a/crates/edge/src/net/metrics.rs
+++ b/crates/edge/src/net/metrics.rs
@@ -50,6 +50,8 @@
     pub purge_lag: Histogram,
     pub no_room: Counter,
     pub not_begun: Counter,
+    pub held_back: Counter,
+    pub purges_proven: Gauge,
     pub slow_clients: Counter,
     pub buffered: Gauge,
     pub lock_waits: Counter,
@@ -98,11 +100,16 @@
         all.register("open_requests", "Requests without a final answer", open.clone());
         all.register("connections", "Connections at all doors", connections.clone());
         let (no_room, slow_clients, buffered) = (Counter::default(), Counter::default(), Gauge::default());
-        let not_begun = Counter::default();
+        let (not_begun, held_back) = (Counter::default(), Counter::default());
+        let purges_proven = Gauge::default();
         let (lock_waits, lock_wait_us, dead_connections) =
             (Counter::default(), Counter::default(), Counter::default());
         let help = "Attempts held back right before their first byte: client, time, member or source gone meanwhile";
         all.register("not_begun", help, not_begun.clone());
+        let help = "Attempts that used no older copy, since purges could not be proven to be known";
+        all.register("held_back", help, held_back.clone());
+        let help = "Purges are proven to be known (1) or not (0); -1: that is not promised";
+        all.register("purges_proven", help, purges_proven.clone());
         all.register("no_room", "Requests refused because as much is under way as may be", no_room.clone());
         all.register(
             "slow_clients",
@@ -172,6 +179,8 @@
             purge_lag,
             no_room,
             not_begun,
+            held_back,
+            purges_proven,
             slow_clients,
             buffered,
             lock_waits,
--- a/crates/edge/src/net/upstream.rs
+++ b/crates/edge/src/net/upstream.rs
@@ -431,6 +431,7 @@
     loop {
         tokio::time::sleep(LOOK).await;
         hub.metrics.dead_connections.inc_by(hub.side.pool.sweep());
+        hub.metrics.purges_proven.set(hub.is_proven().map_or(-1, i64::from));
         hub.metrics.buffered.set(hub.meter.held() as i64);
         hub.metrics.known_calls.set(hub.side.tries.known() as i64);
         hub.metrics.members_connected.set(hub.side.pool.count() as i64);
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -84,6 +84,11 @@
         self.told(Told::View(current));
     }
 
+    /// All purges that were acknowledged up to so long ago are in force.
+    pub fn proven(&self, ago: Micros) {
+        self.hub.proven(ago);
+    }
+
     /// Something of the source could not be used.
     pub fn bad(&self) {
         self.hub.metrics.source_bad.inc();
--- a/crates/etcd/src/feed.rs
+++ b/crates/etcd/src/feed.rs
@@ -14,6 +14,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+/// Answers to questions beside the one under way: never given up with it.
+const BESIDE: u64 = u64::MAX;
 /// Answers of etcd that wait to be handled; the stream waits beyond that.
 const QUEUE: usize = 64;
 
@@ -51,7 +53,7 @@
         };
         // Never: a sender is kept here.
         let Some((of, input)) = input else { return };
-        if of != number {
+        if of != number && of != BESIDE {
             continue;
         }
         let mut out = Vec::new();
@@ -78,6 +80,9 @@
                         let _ = progress.try_send(WatchRequest { request: Some(request) });
                     }
                 }
+                Output::AskMark { asked } => {
+                    tokio::spawn(mark(etcd.clone(), layout::purge_mark(&prefix), asked, sender.clone()));
+                }
                 Output::Hang => {
                     number += 1;
                     asked = None;
@@ -97,6 +102,18 @@
     Header { cluster: h.cluster_id, revision: h.revision }
 }
 
+/// Ends with its call's own patience.
+async fn mark(etcd: Etcd, key: String, asked: Micros, said: mpsc::Sender<(u64, Input)>) {
+    let read = etcd.range(proto::RangeRequest { key: key.into_bytes(), ..Default::default() }).await;
+    let told = |r: proto::RangeResponse| {
+        let cluster = header(r.header).cluster;
+        (cluster, r.kvs.first().map_or(0, |kv| kv.mod_revision))
+    };
+    let read =
+        read.map(told).map_err(|e| tracing::debug!(error = %e, "etcd: the purges' mark is not read"));
+    let _ = said.send((BESIDE, Input::Mark { asked, read: read.ok() })).await;
+}
+
 async fn snapshot(etcd: Etcd, prefix: String, number: u64, said: mpsc::Sender<(u64, Input)>) {
     let input = match etcd.snapshot(&prefix).await {
         Ok(read) => {
--- a/crates/etcd/src/layout.rs
+++ b/crates/etcd/src/layout.rs
@@ -6,6 +6,9 @@
 //! | `dispatchers/NAME` | a [`DispatcherRecord`], under a lease that the dispatcher keeps |
 //! | `purges/ID` | a [`PurgeRecord`]; the writer attaches a lease of at least a minute, after which no older copy is left anywhere |
 //!
+//! Beside them, outside what is watched, `PREFIX/marks/v1/purge` is written with each purge, in the same transaction: its last revision
+//! is that of the last purge, so one read of it proves whether all that was acknowledged is known.
+//!
 //! An ID is the writer's, never used again. Fields that are not known are skipped, so records may grow; another form of one is
 //! another version in the key.
 use pointspindle_wire::{MemberLine, PurgeHead, WireState};
@@ -43,6 +46,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatcherRecord {
     pub zone: String,
+    /// It promises that a purge is in force there within so long, whatever happens. Absent: it promises nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub purge_within_ms: Option<u64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -82,6 +88,11 @@
     format!("{prefix}{VERSION}dispatchers/{name}")
 }
 
+/// Where each purge leaves its revision.
+pub fn purge_mark(prefix: &str) -> String {
+    format!("{prefix}/marks{VERSION}purge")
+}
+
 pub fn purge_key(prefix: &str, id: &str) -> String {
     format!("{prefix}{VERSION}purges/{id}")
 }
--- a/crates/etcd/src/source.rs
+++ b/crates/etcd/src/source.rs
@@ -17,6 +17,8 @@
     /// Seconds of the registration's lease.
     pub lease_s: i64,
     pub rule: Rule,
+    /// What this dispatcher promises of purges, in milliseconds; none: nothing.
+    pub purge_within_ms: Option<u64>,
     pub seed: u64,
 }
 
@@ -36,7 +38,9 @@
             name: settings.name.clone(),
             zone: settings.zones[settings.router.zone].clone(),
             lease_s: e.lease_s,
-            rule: Rule::default(),
+            // The proof is a lease of half of the promise: renewed often enough that one lost answer does not end it.
+            rule: Rule { prove_every: e.purge_within_us / 6, ..Rule::default() },
+            purge_within_ms: (e.purge_within_us > 0).then_some(e.purge_within_us / 1_000),
             seed,
         }))
     }
@@ -44,7 +48,7 @@
 
 impl Source for EtcdSource {
     async fn run(self, teller: Teller) {
-        let record = DispatcherRecord { zone: self.zone };
+        let record = DispatcherRecord { zone: self.zone, purge_within_ms: self.purge_within_ms };
         let told = teller.clone();
         let registered = writer::register(
             self.etcd.clone(),
@@ -100,6 +104,8 @@
             }
             teller.view(view == View::Current);
         }
+        Output::Proven { ago } => teller.proven(ago),
+        Output::AskMark { .. } => {}
         Output::AskSnapshot | Output::AskWatch { .. } | Output::AskProgress | Output::Hang => {}
     }
 }
--- a/crates/etcd/src/watcher.rs
+++ b/crates/etcd/src/watcher.rs
@@ -9,6 +9,11 @@
 //! with the view, and [`Output::Gap`] tells that purges may have been missed since the view was last known to be whole: the safe side
 //! is to treat everything as purged then.
 //!
+//! Where it is to prove that purges are known, the mark that each purge leaves is read every so often: a read that was asked for at
+//! some moment tells the revision of the last purge that was acknowledged by then; once the view is at that revision or past it,
+//! [`Output::Proven`] says so. A read goes through the cluster's agreement, which no word of a watch does: a member that is cut off from
+//! the others goes on telling its watchers that all is well.
+//!
 //! Kept: a line for each member, the last revision of each purge that is still written there.
 use crate::layout::{self, DispatcherRecord, MemberRecord, Name};
 use pointspindle_wire::{ListForm, ListHead, PurgeHead};
@@ -74,6 +79,11 @@
     Compacted,
     /// The stream, or the asking, failed.
     Broken,
+    /// The purges' mark, asked for at that moment: the cluster, and the mark's revision (0: there is none). None: it could not be read.
+    Mark {
+        asked: Micros,
+        read: Option<(u64, Revision)>,
+    },
     Tick,
 }
 
@@ -86,6 +96,14 @@
         from: Revision,
     },
     AskProgress,
+    /// Read the purges' mark; its answer names this moment.
+    AskMark {
+        asked: Micros,
+    },
+    /// All purges that were acknowledged up to so long ago are in the view.
+    Proven {
+        ago: Micros,
+    },
     /// Give up what was asked and is not answered.
     Hang,
     Members(ListHead),
@@ -121,12 +139,21 @@
     /// Wait before asking again: doubled with each failure, up to the longest, jittered.
     pub again: Micros,
     pub longest: Micros,
+    /// The purges' mark is read so often; 0: never. An answer that takes three times as long is not waited for.
+    pub prove_every: Micros,
 }
 
 impl Default for Rule {
     /// A broken drain shows after a second: what is unknown must show before that.
     fn default() -> Self {
-        Self { progress_every: 150_000, silent: 150_000, stale: 500_000, again: 10_000, longest: 1_000_000 }
+        Self {
+            progress_every: 150_000,
+            silent: 150_000,
+            stale: 500_000,
+            again: 10_000,
+            longest: 1_000_000,
+            prove_every: 0,
+        }
     }
 }
 
@@ -163,6 +190,10 @@
     seq: u64,
     told: View,
     dice: StdRng,
+    /// When the mark is read next, when the question under way was asked, and what the view has to reach for the last answer.
+    mark_next: Micros,
+    mark_asked: Option<Micros>,
+    mark: Option<(Micros, u64, Revision)>,
 }
 
 impl Watcher {
@@ -185,6 +216,9 @@
             seq: 0,
             told: View::Unknown,
             dice: StdRng::seed_from_u64(seed),
+            mark_next: now,
+            mark_asked: None,
+            mark: None,
         }
     }
 
@@ -209,16 +243,16 @@
             _ => self.heard + self.rule.progress_every + self.rule.silent,
         };
         let stale = self.whole_at + self.rule.stale;
-        if self.told == View::Current {
-            phase.min(stale)
-        } else {
-            phase
+        let next = if self.told == View::Current { phase.min(stale) } else { phase };
+        match self.rule.prove_every {
+            0 => next,
+            every => next.min(self.mark_asked.map_or(self.mark_next, |at| at + 3 * every)),
         }
     }
 
     /// `wall_ms`: milliseconds since 1970, for members' starts only.
     pub fn handle(&mut self, now: Micros, wall_ms: u64, input: Input, out: &mut Vec<Output>) {
-        if input != Input::Tick {
+        if !matches!(input, Input::Tick | Input::Mark { .. }) {
             self.heard = now;
             self.asked_progress = false;
         }
@@ -259,8 +293,37 @@
             }
             Input::Compacted => self.history_lost(now, out),
             Input::Broken => self.rest(now),
+            Input::Mark { asked, read } => {
+                // Only the question under way: a late answer to one that was given up proves nothing newer.
+                if self.mark_asked == Some(asked) {
+                    self.mark_asked = None;
+                    self.mark = read.map(|(cluster, revision)| (asked, cluster, revision));
+                }
+            }
             Input::Tick => self.tick(now, out),
         }
+        self.prove(now, out);
+    }
+
+    /// Asks for the mark when its time has come, and tells what the last answer proves once the view has reached it.
+    fn prove(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let every = self.rule.prove_every;
+        if every == 0 {
+            return;
+        }
+        if let Some((asked, cluster, revision)) = self.mark {
+            // Purges may be missing where history was lost, until all is read anew.
+            let known = self.revision > 0 && !self.lost && cluster == self.cluster;
+            if known && self.revision >= revision {
+                self.mark = None;
+                out.push(Output::Proven { ago: now.saturating_sub(asked) });
+            }
+        }
+        let given_up = self.mark_asked.is_some_and(|at| now >= at + 3 * every);
+        if now >= self.mark_next && (self.mark_asked.is_none() || given_up) {
+            (self.mark_asked, self.mark_next) = (Some(now), now + every);
+            out.push(Output::AskMark { asked: now });
+        }
     }
 
     /// False for another history than the view's: another cluster's, or one that knows less than was seen.
--- a/crates/etcd/src/writer.rs
+++ b/crates/etcd/src/writer.rs
@@ -75,7 +75,8 @@
     let (lease, _) = etcd.grant(PURGE_SECONDS).await?;
     for _ in 0..TRIES {
         let key = layout::purge_key(prefix, &format!("{:032x}", rand::thread_rng().gen::<u128>()));
-        let (compare, success) = (vec![unchanged(&key, 0)], vec![put(key, json(record), lease)]);
+        let mark = put(layout::purge_mark(prefix), Vec::new(), 0);
+        let (compare, success) = (vec![unchanged(&key, 0)], vec![put(key, json(record), lease), mark]);
         let done = etcd.txn(TxnRequest { compare, success, failure: vec![] }).await?;
         if done.succeeded {
             return Ok(done.header.unwrap_or_default().revision);
@@ -84,6 +85,30 @@
     Err(WriteError::Crowded(layout::watched(prefix)))
 }
 
+/// What the dispatchers that are registered promise of a purge.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Promise {
+    pub dispatchers: usize,
+    /// The longest time that one of them promises.
+    pub within_ms: u64,
+    /// Those that promise nothing.
+    pub without: Vec<String>,
+}
+
+pub async fn promise(etcd: &Etcd, prefix: &str) -> Result<Promise, WriteError> {
+    let from = layout::dispatcher_key(prefix, "");
+    let read = etcd.snapshot(&from).await?;
+    let mut promise = Promise { dispatchers: read.keys.len(), ..Promise::default() };
+    for kv in read.keys {
+        let name = String::from_utf8_lossy(&kv.key[from.len().min(kv.key.len())..]).into_owned();
+        match layout::dispatcher(&kv.key, &kv.value)?.purge_within_ms {
+            Some(ms) => promise.within_ms = promise.within_ms.max(ms),
+            None => promise.without.push(name),
+        }
+    }
+    Ok(promise)
+}
+
 /// What a dispatcher hears of its registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kept {
--- a/crates/etcd/tests/history.rs
+++ b/crates/etcd/tests/history.rs
@@ -133,6 +133,9 @@
                     self.bad += 1;
                 }
                 Output::View(_) | Output::Dispatchers(_) => {}
+                Output::AskMark { .. } | Output::Proven { .. } => {
+                    unreachable!("nothing is to be proven here")
+                }
             }
         }
         self.check();
--- a/crates/lab/tests/etcd.rs
+++ b/crates/lab/tests/etcd.rs
@@ -179,7 +179,7 @@
         etcd.clone(),
         PREFIX.into(),
         "one".into(),
-        DispatcherRecord { zone },
+        DispatcherRecord { zone, purge_within_ms: None },
         1,
         move |_, _| told.load(std::sync::atomic::Ordering::SeqCst),
     );
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -82,7 +82,7 @@
                 write: router.classes[i].uncacheable,
                 deadline_ms: deadline_us / 1_000,
             });
-            specs.push(ClassSpec { name, path_prefix: None, deadline_us });
+            specs.push(ClassSpec { name, path_prefix: None, deadline_us, purge_exempt: false });
         }
         if forms.is_empty() {
             return Err(wrong("settings.Classes", "no class"));
