Scale run with the promise of purges; short form, hollow beside real, bounded state

Change: [run] promise; tests of counts by kind as functions of N, of hollow beside real, of state after 100,000 purges and 10,000 restarts of others; the processor time of a killed process is added and not taken away.

--- /dev/null
+++ b/crates/cli/tests/scale.rs
@@ -0,0 +1,133 @@
+//! The scale run in a short form, without a word on time: counts by kind as functions of the size, state of hollow dispatchers, errors,
+//! and the page held to its slopes.
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_pointspindle")).args(args).output().unwrap()
+}
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").canonicalize().unwrap()
+}
+
+fn count(v: &Value) -> u64 {
+    v.as_u64().unwrap_or_else(|| panic!("a count: {v}"))
+}
+
+#[test]
+fn what_is_told_grows_as_it_should_and_all_of_it_is_heard() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("small.ini");
+    let text = "[target]\ndispatchers = 6\nsites = 2\nhosts = 4\npurges_per_s = 10\n\
+                [run]\neach = 2\nhosts_each = 2\nstorm = 50\naway_s = 0.3\n";
+    std::fs::write(&file, text).unwrap();
+    let out = folder.path().join("out");
+    let told = run(&[
+        "--log",
+        "error",
+        "lab",
+        "scale",
+        file.to_str().unwrap(),
+        "--hollow",
+        "3,6",
+        "--seconds",
+        "0.5",
+        "--json",
+        "--out",
+        out.to_str().unwrap(),
+    ]);
+    // 1 is a budget's word, which a busy machine may break.
+    let errors = String::from_utf8_lossy(&told.stderr);
+    assert!(matches!(told.status.code(), Some(0 | 1)), "{errors}");
+    let all: Value = serde_json::from_slice(&told.stdout).unwrap();
+    let steps = all["runs"][0].as_array().unwrap();
+    assert_eq!(steps.len(), 2);
+    for step in steps {
+        let n = count(&step["dispatchers"]);
+        assert_eq!(count(&step["hosts"]), (4 * n).div_ceil(6));
+        let phase = |name: &str| {
+            let phases = step["phases"].as_array().unwrap();
+            phases.iter().find(|p| p["name"] == name).unwrap_or_else(|| panic!("no phase {name}"))
+        };
+        // Each write is told to each, once; nobody misses one.
+        for (name, what, kind) in [
+            ("purges", "purges", "purges"),
+            ("storm", "purges", "purges"),
+            ("changes", "changes", "members"),
+        ] {
+            let lag = &phase(name)[what];
+            assert!(count(&lag["written"]) > 0);
+            assert_eq!(
+                (count(&lag["heard"]), count(&lag["never"])),
+                (count(&lag["written"]) * n, 0),
+                "{name}"
+            );
+            let events = count(&phase(name)["traffic"]["events"][kind]);
+            assert_eq!(events, count(&lag["written"]) * n, "{name} at {n}");
+        }
+        assert_eq!(count(&phase("storm")["purges"]["written"]), 50);
+        // All know all, and nothing more.
+        let items = &phase("rest")["items"];
+        assert_eq!((count(&items["members"]), count(&items["dispatchers"])), (count(&step["hosts"]), n));
+        assert!(phase("compacted")["whole_ms"].as_f64().unwrap() > 0.0);
+        // A process of hollow ones that is killed and started again is told as so many leaves and so many returns, to each that is there.
+        let restarted = count(&phase("restart")["traffic"]["events"]["dispatchers"]);
+        assert!(restarted >= 4 * (n - 2) && restarted <= 4 * n, "{restarted} at {n}");
+    }
+    let slope = &all["slopes"]["figures"]["rest/store bytes out"];
+    assert_eq!((count(&slope["from"]), count(&slope["to"])), (3, 6));
+    // The page can be written from what was kept.
+    let slopes = out.join("slopes.json");
+    let page =
+        run(&["lab", "capacity", "--target", file.to_str().unwrap(), "--slopes", slopes.to_str().unwrap()]);
+    let page = String::from_utf8_lossy(&page.stdout).into_owned();
+    assert!(page.contains("extrapolated") || page.contains("measured"), "{page}");
+}
+
+#[test]
+fn what_cannot_be_run_is_named_with_file_and_key() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("odd.ini");
+    std::fs::write(&file, "[run]\nseconds = 1\n").unwrap();
+    let told = run(&["lab", "scale", file.to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert_eq!(told.status.code(), Some(2), "{text}");
+    assert!(text.contains("odd.ini") && text.contains("dispatchers"), "{text}");
+    std::fs::write(&file, "[target]\ndispatchers = 6\nhosts = 4\n").unwrap();
+    let told = run(&["lab", "scale", file.to_str().unwrap(), "--hollow", "9000"]);
+    let text = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert!(told.status.code() == Some(2) && text.contains("--hollow 9000"), "{text}");
+    let slopes = folder.path().join("slopes.json");
+    std::fs::write(
+        &slopes,
+        r#"{"commit":"","date":"","machine":"","seconds":1.0,"steps":[],"runs":1,"counts":{},
+            "figures":{"rest/x":{"unit":"","a":1.0,"b":0.0,"residual":0.0,"from":0,"to":0}}}"#,
+    )
+    .unwrap();
+    let told =
+        run(&["lab", "capacity", "--target", file.to_str().unwrap(), "--slopes", slopes.to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert_eq!(told.status.code(), Some(2), "{text}");
+    assert!(text.contains("slopes.json") && text.contains("rest/x"), "{text}");
+}
+
+/// No figure on the page outlives its run.
+#[test]
+fn the_capacity_page_is_what_the_program_writes() {
+    let root = root();
+    let at = |file: &str| root.join(file).to_str().unwrap().to_owned();
+    let told = run(&[
+        "lab",
+        "capacity",
+        "--target",
+        &at("scenarios/fleet-ahead.ini"),
+        "--slopes",
+        &at("docs/capacity/slopes.json"),
+    ]);
+    let written = String::from_utf8_lossy(&told.stdout).into_owned();
+    let page = std::fs::read_to_string(root.join("docs/CAPACITY.md")).unwrap();
+    assert!(told.status.success());
+    assert!(page == written, "docs/CAPACITY.md is not what `lab capacity` writes from its slopes");
+}
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -500,3 +500,34 @@
         assert!(begin.age > 0 && begin.age <= 7 * MS && !begin.join, "{begin:?} ({before} before)");
     }
 }
+
+/// A hundred thousand purges and ten thousand restarts of others leave nothing behind but what is there.
+#[test]
+fn what_is_kept_of_purges_and_of_other_dispatchers_is_bounded() {
+    let mut s = Stage::new();
+    let mut out = Vec::new();
+    let mut most = 0;
+    for n in 0..100_000u64 {
+        let head = PurgeHead { object: Some(format!("/video/{n}")), group: n % 1_000, age_us: 0, seq: 0 };
+        s.core.handle(s.now + n, Input::Purge(head), &mut out);
+        if n % 1_000 == 0 {
+            most = most.max(s.core.kept(s.now + n).1);
+        }
+        out.clear();
+    }
+    println!("{most} purges kept at most");
+    // The log's own bound: beyond it purges are kept by group.
+    assert!(most <= 16 * 1024, "{most}");
+    s.now += 100_000;
+    for restart in 0..10_000u64 {
+        let name = |n: u64| if n == restart % 50 { format!("d-{n}-{restart}") } else { format!("d-{n}") };
+        let roster = (0..50).map(|n| (name(n), "branch".to_owned())).collect();
+        s.now += MS;
+        s.core.handle(s.now, Input::Roster(roster), &mut out);
+        out.clear();
+    }
+    assert_eq!(s.core.kept(s.now).2, 50);
+    // What could still be older than a purge is gone after a while, and so is the purge.
+    s.now += 600_000 * MS;
+    assert_eq!(s.core.kept(s.now).1, 0);
+}
--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -31,8 +31,8 @@
     Row { what: what.to_owned(), known: Known::NotMeasured, by }
 }
 
-const CONTROL: &str = "`etcd/watcher.rs`, `edge/net`; `lab/tests/scale.rs`";
-const STORE: &str = "stand-in `lab/etcd`; `lab/tests/scale.rs`";
+const CONTROL: &str = "`etcd/watcher.rs`, `edge/net`; `cli/tests/scale.rs`";
+const STORE: &str = "stand-in `lab/etcd`; `cli/tests/scale.rs`";
 
 fn roles(t: &Target) -> Vec<(&'static str, Vec<Row>)> {
     let (core, memory, kb) = (Some(t.core_share), Some(t.memory_mb), Some(t.kb_per_s));
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -35,6 +35,8 @@
     pub each: usize,
     pub hosts_each: usize,
     pub storm: usize,
+    /// Hollow dispatchers promise that purges are in force within `purge_ms`, and prove it.
+    pub promise: bool,
     pub away_s: f64,
 }
 
@@ -64,6 +66,7 @@
         each: r.number("run", "each", 50, 1, 1_000),
         hosts_each: r.number("run", "hosts_each", 60, 1, 1_000),
         storm: r.number("run", "storm", 1_000, 0, 100_000),
+        promise: r.flag("run", "promise", false),
         away_s: r.number("run", "away_s", 5.0, 0.1, 600.0),
     };
     for (key, count) in [("dispatchers", target.dispatchers), ("hosts", target.hosts)] {
--- a/crates/lab/src/scale/parts.rs
+++ b/crates/lab/src/scale/parts.rs
@@ -26,7 +26,7 @@
     /// The control store's stand-in.
     Store,
     /// Hollow dispatchers with these numbers, over so many sites.
-    Dispatchers { store: String, first: usize, count: usize, sites: usize },
+    Dispatchers { store: String, first: usize, count: usize, sites: usize, promise_ms: f64 },
     /// Hollow cache hosts: no store, no bodies.
     Hosts { first: usize, count: usize, sites: usize },
 }
@@ -129,8 +129,8 @@
     let line = words.next_line().await.map_err(|e| e.to_string())?.ok_or("nothing was asked for")?;
     match serde_json::from_str(&line).map_err(|e| format!("{line}: {e}"))? {
         Part::Store => store(words).await,
-        Part::Dispatchers { store, first, count, sites } => {
-            dispatchers(words, &store, first, count, sites).await
+        Part::Dispatchers { store, first, count, sites, promise_ms } => {
+            dispatchers(words, &store, first..first + count, sites, promise_ms).await
         }
         Part::Hosts { first, count, sites } => hosts(words, first, count, sites).await,
     }
@@ -154,11 +154,11 @@
 }
 
 /// A dispatcher's settings, as one in service has them, but for doors.
-pub fn dispatcher_settings(store: &str, number: usize, sites: usize) -> String {
+pub fn dispatcher_settings(store: &str, number: usize, sites: usize, promise_ms: f64) -> String {
     let zones: String = (0..sites).map(|n| format!("[zone site-{n}]\n")).collect();
     format!(
         "[dispatcher]\nname = d-{number}\nzone = site-{}\n[listen]\nhttp = 127.0.0.1:0\n\
-         [etcd]\nendpoints = {store}\nprefix = {PREFIX}\ntimeout_ms = 5000\n{zones}\
+         [etcd]\nendpoints = {store}\nprefix = {PREFIX}\ntimeout_ms = 5000\npurge_within_ms = {promise_ms}\n{zones}\
          [class page]\npath_prefix = /\n",
         number % sites
     )
@@ -167,14 +167,15 @@
 async fn dispatchers(
     mut words: Words,
     store: &str,
-    first: usize,
-    count: usize,
+    numbers: std::ops::Range<usize>,
     sites: usize,
+    promise_ms: f64,
 ) -> Result<(), String> {
     let ear = Arc::new(Mutex::new(Ear::new().ok_or("no histogram")?));
     let mut hollow = Vec::new();
-    for number in first..first + count {
-        hollow.push(hollow_one(store, number, sites, ear.clone()).await?);
+    for number in numbers {
+        let settings = dispatcher_settings(store, number, sites, promise_ms);
+        hollow.push(hollow_one(&settings, number, ear.clone()).await?);
     }
     say(&Say::Done);
     while let Some(asked) = ask(&mut words).await {
@@ -202,14 +203,8 @@
 }
 
 /// One hollow dispatcher: the program's own control code, and an ear for what comes into force.
-async fn hollow_one(
-    store: &str,
-    number: usize,
-    sites: usize,
-    ear: Arc<Mutex<Ear>>,
-) -> Result<Hollow, String> {
-    let settings =
-        parse("hollow", &dispatcher_settings(store, number, sites)).map_err(|e| e.to_string())?;
+async fn hollow_one(settings: &str, number: usize, ear: Arc<Mutex<Ear>>) -> Result<Hollow, String> {
+    let settings = parse("hollow", settings).map_err(|e| e.to_string())?;
     let seed = number as u64 + 1;
     let source = EtcdSource::of(&settings, seed).map_err(|e| e.to_string())?.ok_or("no control store")?;
     let prepared = Prepared::new(Net::Tcp, settings, seed).await;
--- a/crates/lab/src/scale/steps.rs
+++ b/crates/lab/src/scale/steps.rs
@@ -223,7 +223,9 @@
     }
 
     async fn start_dispatchers(&mut self, first: usize, count: usize) -> Result<(), ScaleError> {
-        let part = Part::Dispatchers { store: self.at.clone(), first, count, sites: self.sites };
+        let (store, sites) = (self.at.clone(), self.sites);
+        let promise_ms = if self.target.promise { self.target.purge_ms } else { 0.0 };
+        let part = Part::Dispatchers { store, first, count, sites, promise_ms };
         let (process, _) = Process::start(&self.program, &part).await?;
         self.dispatchers.push((process, first, count));
         Ok(())
@@ -478,7 +480,7 @@
     fleet.begin().await?;
     let last = fleet.dispatchers.len() - 1;
     let (mut killed, first, count) = fleet.dispatchers.remove(last);
-    fleet.ended = -used(killed.pid()).0;
+    fleet.ended = used(killed.pid()).0;
     killed.child.kill().await.map_err(rig)?;
     tokio::time::sleep(LEASE).await;
     fleet.start_dispatchers(first, count).await?;
