--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -6,10 +6,9 @@
 
 /// Where a row's figure comes from.
 enum Known {
-    /// A figure of the run, times a factor (a count), with its budget.
+    /// A figure of the run, with its budget.
     Run {
         figure: &'static str,
-        times: f64,
         unit: &'static str,
         budget: Option<f64>,
     },
@@ -26,7 +25,7 @@
 }
 
 fn run(what: &str, figure: &'static str, unit: &'static str, budget: Option<f64>, by: &'static str) -> Row {
-    Row { what: what.to_owned(), known: Known::Run { figure, times: 1.0, unit, budget }, by }
+    Row { what: what.to_owned(), known: Known::Run { figure, unit, budget }, by }
 }
 
 fn open(what: &str, by: &'static str) -> Row {
@@ -191,7 +190,7 @@
         let _ = writeln!(out, "| {} | | | | | | {how} | {by} |", row.what);
         return;
     }
-    let Known::Run { figure, times, unit, budget } = &row.known else {
+    let Known::Run { figure, unit, budget } = &row.known else {
         let _ = writeln!(out, "| {} | | *not measured* | | | | *not measured* | {by} |", row.what);
         return;
     };
@@ -200,8 +199,7 @@
         return;
     };
     let used = slope.is_used();
-    let (at, twice) =
-        if used { (slope.at(n) * times, slope.at(2.0 * n) * times) } else { (slope.most, 0.0) };
+    let (at, twice) = if used { (slope.at(n), slope.at(2.0 * n)) } else { (slope.most, 0.0) };
     let (budget, share) = match budget {
         None => (String::new(), String::new()),
         Some(b) if at > *b => (format!("{} {unit}", number(*b)), format!("**{:.1} times over**", at / b)),
@@ -228,11 +226,11 @@
          N is the dispatchers: {} at {} sites, before {} cache hosts, {} requests a second, {} purges a second, {} changes a day.\n\n",
         t.dispatchers, t.sites, t.hosts, t.requests_per_s, t.purges_per_s, t.changes_per_day
     );
-    let _ = write!(
+    let _ = writeln!(
         out,
         "Measured by `lab scale` at {:?} hollow dispatchers, {} run(s), {} s a phase, commit {}, {}, {}; everything on one machine over loopback, so no way takes time and the store, \
          the dispatchers and the hosts share its cores. A slope is `a + b N` over the sizes measured, with the largest distance of a measured value from it; a figure \
-         whose runs are over {:.0}% apart is not used. *At 2 N* is extrapolated by factor two where N is the largest size measured.\n",
+         whose runs are over {:.0}% apart is not used. *At 2 N* is extrapolated by factor two where N is the largest size measured.",
         s.steps,
         s.runs,
         s.seconds,
@@ -243,7 +241,7 @@
     );
     out.push_str("\n## By role\n");
     for (role, rows) in roles(t) {
-        let _ = write!(out, "\n### {role}\n\n{HEAD}");
+        out.push_str(&format!("\n### {role}\n\n{HEAD}"));
         rows.iter().for_each(|r| row(&mut out, r, s, n));
     }
     out.push_str("\n## By event\n");
@@ -271,9 +269,9 @@
         if let Known::Run { figure, .. } = r.known {
             bent.extend(s.figures.get(figure).filter(|f| f.is_used() && f.c != 0.0).map(|_| figure));
         }
-        let Known::Run { figure, times, budget: Some(budget), .. } = r.known else { continue };
+        let Known::Run { figure, budget: Some(budget), .. } = r.known else { continue };
         let Some(slope) = s.figures.get(figure).filter(|slope| slope.is_used()) else { continue };
-        shares.push((slope.at(2.0 * n) * times / budget, format!("{} ({figure})", r.what)));
+        shares.push((slope.at(2.0 * n) / budget, format!("{} ({figure})", r.what)));
     }
     shares.sort_by(|a, b| b.0.total_cmp(&a.0));
     for (share, what) in shares.iter().take(5) {
