--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -20,6 +20,9 @@
     /// Times that all steps are played; slopes are used only where runs agree.
     #[arg(long, default_value_t = 1)]
     runs: usize,
+    /// Fit the slopes of a kept steps.json anew, without a run.
+    #[arg(long, conflicts_with_all = ["runs", "seconds", "hollow"])]
+    steps: Option<PathBuf>,
     /// Print one JSON object.
     #[arg(long)]
     json: bool,
@@ -60,8 +63,18 @@
         return Err(Failure::CannotRun(format!("--runs {}: 1 to 10", a.runs)));
     }
     let program = std::env::current_exe()?;
-    let mut runs = Vec::new();
-    for run in 0..a.runs {
+    let mut runs: Vec<Vec<Step>> = Vec::new();
+    if let Some(file) = &a.steps {
+        let named = |e: &dyn std::fmt::Display| Failure::CannotRun(format!("{}: {e}", file.display()));
+        let text = std::fs::read_to_string(file).map_err(|e| named(&e))?;
+        runs = serde_json::from_str(&text).map_err(|e| named(&e))?;
+    }
+    let sizes = |run: &Vec<Step>| run.iter().map(|s| s.dispatchers).collect();
+    let (steps, played) = match runs.first() {
+        Some(run) => (sizes(run), 0),
+        None => (a.hollow.clone(), a.runs),
+    };
+    for run in 0..played {
         let mut steps = Vec::new();
         for n in &a.hollow {
             let tell = |phase: &str| eprintln!("run {}, {n} hollow dispatchers: {phase}", run + 1);
@@ -74,8 +87,8 @@
         date: httpdate::fmt_http_date(SystemTime::now()),
         machine: machine(),
         seconds: target.seconds,
-        steps: a.hollow.clone(),
-        runs: a.runs,
+        steps,
+        runs: runs.len(),
         figures: slopes(&runs),
         counts: counts(&runs),
     };
