--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -1,7 +1,7 @@
 //! `pointspindle lab scale` and `pointspindle lab capacity`.
 use crate::Failure;
 use pointspindle_lab::scale::slopes::{slopes, Slopes};
-use pointspindle_lab::scale::steps::{play, Step};
+use pointspindle_lab::scale::steps::{machine_mb, play, Step};
 use pointspindle_lab::scale::{capacity, parts, read, Target};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -135,10 +135,7 @@
 
 fn machine() -> String {
     let cores = std::thread::available_parallelism().map_or(0, |n| n.get());
-    let info = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
-    let kb = info.lines().find_map(|l| l.strip_prefix("MemTotal:")).unwrap_or_default();
-    let kb: f64 = kb.trim().trim_end_matches(" kB").parse().unwrap_or(0.0);
-    format!("{cores} cores, {:.0} GB", kb / 1024.0 / 1024.0)
+    format!("{cores} cores, {:.0} GB", machine_mb() / 1024.0)
 }
 
 fn counts(runs: &[Vec<Step>]) -> BTreeMap<String, f64> {
--- a/crates/lab/src/scale/parts.rs
+++ b/crates/lab/src/scale/parts.rs
@@ -6,7 +6,7 @@
 use pointspindle_config::{parse, parse_cache};
 use pointspindle_edge::{Ears, Hollow, Items, Prepared, Told};
 use pointspindle_etcd::feed::wall_ms;
-use pointspindle_etcd::layout::{member_key, MemberRecord, State};
+use pointspindle_etcd::layout::{MemberRecord, State};
 use pointspindle_etcd::EtcdSource;
 use pointspindle_host::Host;
 use pointspindle_link::Net;
@@ -275,10 +275,5 @@
     Ok(())
 }
 
-/// The key of a host's line.
-pub fn key_of(address: &str) -> String {
-    member_key(PREFIX, address)
-}
-
 /// Told to a process that is to end.
 pub const LAST_WORDS: Duration = Duration::from_secs(2);
--- a/crates/lab/src/scale/steps.rs
+++ b/crates/lab/src/scale/steps.rs
@@ -1,8 +1,9 @@
 //! The phases of a scale run at one size: start, rest, purges, ten times the purges, changes of the list, a storm of purges,
 //! restarts, a site's worth killed at once, the control store away, compacted, and its streams broken. After each, what it cost.
-use super::parts::{key_of, now_us, object, Ask, Heard, Part, Say, LAST_WORDS, PREFIX};
+use super::parts::{now_us, object, Ask, Heard, Part, Say, LAST_WORDS, PREFIX};
 use super::Target;
 use crate::etcd::traffic::Figures;
+use crate::idle::usage;
 use pointspindle_edge::Items;
 use pointspindle_etcd::layout::{MemberRecord, PurgeRecord};
 use pointspindle_etcd::{writer, Access, Etcd};
@@ -135,22 +136,15 @@
     }
 }
 
-/// Processor seconds, resident bytes and descriptors of a process.
+/// Processor seconds, resident megabytes and descriptors of a process.
 fn used(pid: u32) -> (f64, f64, u64) {
-    let read = |what: &str| std::fs::read_to_string(format!("/proc/{pid}/{what}")).unwrap_or_default();
-    let stat = read("stat");
-    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let ticks = |n: usize| fields.get(n).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-    // Behind the name: state is field 0, utime 11, stime 12; the kernel counts in hundredths.
-    let seconds = (ticks(11) + ticks(12)) / 100.0;
-    let status = read("status");
-    let kb = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    let kb: f64 = kb.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0.0);
+    let (cpu, bytes) = usage(pid);
     let open = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |d| d.count() as u64);
-    (seconds, kb / 1024.0, open)
+    (cpu.as_secs_f64(), bytes as f64 / 1024.0 / 1024.0, open)
 }
 
-fn machine_mb() -> f64 {
+/// The machine's memory; 0: it does not say.
+pub fn machine_mb() -> f64 {
     let info = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
     let kb = info.lines().find_map(|l| l.strip_prefix("MemTotal:"));
     kb.and_then(|l| l.trim().trim_end_matches(" kB").parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
@@ -212,7 +206,6 @@
     }
 
     async fn write(&self, address: &str, record: &MemberRecord) -> Result<(), ScaleError> {
-        debug_assert!(key_of(address).starts_with(PREFIX));
         let written = writer::member(&self.etcd, PREFIX, address, |_| Ok(Some(record.clone()))).await;
         written.map(|_| ()).map_err(rig)
     }
--- a/crates/link/src/writer.rs
+++ b/crates/link/src/writer.rs
@@ -37,7 +37,8 @@
 /// nothing after all.
 pub type Wording = Box<dyn FnMut() -> Option<RequestHead> + Send>;
 
-/// A request none of whose bytes has gone out. Dropped like this it never began, and its call is told so.
+/// A request none of whose bytes has gone out. Who ends it like this tells its call ([`Unsent::never_began`]), unless that is what gave
+/// it up.
 pub(crate) struct Unsent {
     pub id: u32,
     pub word: Wording,
