Shutdown by the settings' longest deadline; accept failures judged by what they say

Checked and ruled out: the kill's time (the test's own clock from after the signal); what came up to 0.7 s with a deadline over 1 s was answered in time; limits on connections were not reached. Cause: platform/life.rs served on for a fixed second, and each request 503'd at the end set the 50 ms last look anew, so that a client that goes on asking kept its connection to the kill; edge/net/keeper.rs accept_failed took any error for descriptors used up; Front::accept left its queue at the first error. Change: platform/shutdown.rs computes refuse, end and listener close from the longest deadline; at the end every open request gets its final answer (Event::GiveUp of the module, Input::GiveUpAll of the core); half requests are refused; the last look begins once; the listener stays for requests sent again. link/accept.rs judges errors of accept; listeners empty their queue past failures. front.rs becomes front/ (listener, session, reply).

--- a/crates/edge/src/core/asks.rs
+++ b/crates/edge/src/core/asks.rs
@@ -76,6 +76,12 @@
         self.take(first)
     }
 
+    /// None waits any longer.
+    pub fn take_all(&mut self) -> Vec<Waiting> {
+        self.queues.clear();
+        std::mem::take(&mut self.waiting).into_values().collect()
+    }
+
     /// It waits no longer, whatever for.
     pub fn take(&mut self, request: u64) -> Option<Waiting> {
         let found = self.waiting.remove(&request)?;
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -75,6 +75,8 @@
     },
     /// The client has left, or its answer is finished with an error on its side.
     Gone(u64),
+    /// The process ends: every open request whose answer is not being passed on gets its final answer now.
+    GiveUpAll,
     Members(ListHead),
     Purge(PurgeHead),
     /// A member's word of its process, first on each connection to it. Tell it before anything else of that
@@ -379,6 +381,7 @@
                 }
                 self.forget_if_over(request);
             }
+            Input::GiveUpAll => self.give_up_all(now, out),
             Input::Members(head) => {
                 let (event, news) = self.list.take(now, head);
                 out.push(Output::List(news));
@@ -478,6 +481,19 @@
         }
     }
 
+    fn give_up_all(&mut self, now: Micros, out: &mut Vec<Output>) {
+        // Those that wait for a member's word are not known to the router yet.
+        for waiting in self.asks.take_all() {
+            self.timers.cancel(waiting.due, timers::Timer::Ask(waiting.request.id.0));
+            self.drive(now, Event::Request(waiting.go_on(now)), out);
+        }
+        let unanswered = self.open.iter().filter(|(_, o)| !o.done && !o.committed);
+        let ids: Vec<u64> = unanswered.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.drive(now, Event::GiveUp(RequestId(id)), out);
+        }
+    }
+
     fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
         while let Some(timer) = self.timers.due(now) {
             match timer {
--- a/crates/edge/src/net/keeper.rs
+++ b/crates/edge/src/net/keeper.rs
@@ -1,7 +1,7 @@
 //! The doors' connections: [`crate::admission`] behind a lock, and the way of its word to each connection's task.
 use crate::admission::{Admission, ConnectionId, Limits, Verdict};
 use pointspindle::Micros;
-use pointspindle_link::{Line, Link, LinkOptions};
+use pointspindle_link::{AcceptFailure, Line, Link, LinkOptions};
 use pointspindle_wire::http::HttpAnswer;
 use pointspindle_wire::streams::Side;
 use std::collections::HashMap;
@@ -15,6 +15,8 @@
 const TURNING: usize = 64;
 /// Idle connections that make room when descriptors have run out.
 const ROOM: usize = 16;
+/// After a shortage a connection is accepted again so much later: what was told to close has closed, and nothing spins.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time and bytes for a turned-away client to take its answer.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 const UNREAD: usize = 16 * 1024;
@@ -76,17 +78,25 @@
         }
     }
 
-    /// A connection could not be accepted. Out of descriptors, most likely: idle connections make room, and a short wait
-    /// lets them close instead of spinning.
+    /// A connection could not be accepted. Where this process has no descriptor left, idle connections make room; what the
+    /// machine is short of, or one connection that died in the queue, says nothing of them. Returns when to accept again.
     pub async fn accept_failed(&self, error: std::io::Error) {
-        let closing = {
-            let mut locked = self.lock();
-            let close = locked.admission.make_room(ROOM);
-            locked.tell(&close);
-            close.len()
+        let failure = AcceptFailure::of(&error);
+        let closing = match failure {
+            AcceptFailure::Connection | AcceptFailure::Shortage => 0,
+            AcceptFailure::Descriptors => {
+                let mut locked = self.lock();
+                let close = locked.admission.make_room(ROOM);
+                locked.tell(&close);
+                close.len()
+            }
         };
+        if failure == AcceptFailure::Connection {
+            tracing::debug!(%error, "a connection died before it was accepted");
+            return tokio::task::yield_now().await;
+        }
         tracing::warn!(%error, closing, "accept failed");
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::time::sleep(ACCEPT_PAUSE).await;
     }
 
     /// Says when to come back, and closes. In a crowd, only closes.
--- a/crates/edge/src/net/mod.rs
+++ b/crates/edge/src/net/mod.rs
@@ -268,6 +268,9 @@
     Ok(Some(listener))
 }
 
+/// Failures of `accept` that a closing listener goes past before what may still wait there is given up.
+pub const QUEUE_FAILURES: usize = 16;
+
 /// What a door's connections share.
 #[derive(Clone)]
 pub(crate) struct Door {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`STREAM_WINDOW`](pointspindle_wire::streams::STREAM_WINDOW) bytes; both are forgotten when its handle is dropped.
 #![forbid(unsafe_code)]
 
+mod accept;
 mod call;
 mod credit;
 mod line;
@@ -18,6 +19,7 @@
 pub mod tls;
 mod writer;
 
+pub use accept::AcceptFailure;
 pub use call::{Call, CallEnd, Part, Responder};
 pub use line::{Line, Listener, Net, ReadHalf, WriteHalf};
 pub use meter::Meter;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/front/reply.rs
@@ -1,18 +1,26 @@
 //! A FastCGI client's side of a request: its answer is put together whole and handed to the connection's writer.
+use super::session::Shared;
 use bytes::{Bytes, BytesMut};
 use pointspindle::Micros;
 use pointspindle_edge::net::exchange::{ClientGone, ClientSide};
 use pointspindle_platform_wire::fastcgi;
 use pointspindle_wire::AnswerHead;
 use std::fmt::Write;
+use std::io::{ErrorKind, IoSlice};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 /// Status of a refusal: trying again is harmless.
 pub(crate) const REFUSED: &str = "503 Service Unavailable";
 
+/// A client that takes nothing of its answers for so long is given up.
+const WRITE_PATIENCE: Duration = Duration::from_secs(5);
+
 /// What a connection's writer is given.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
@@ -23,17 +31,31 @@
 
 /// The way to a connection's writer.
 #[derive(Clone, Debug)]
-pub(crate) struct Words {
-    pub out: mpsc::UnboundedSender<Outgoing>,
+pub(crate) struct ReplySender {
+    queue: mpsc::UnboundedSender<Outgoing>,
     /// Those that are not written yet.
-    pub unread: Arc<AtomicUsize>,
+    unwritten: Arc<AtomicUsize>,
 }
 
-impl Words {
+impl ReplySender {
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Outgoing>) {
+        let (queue, outgoing) = mpsc::unbounded_channel();
+        (Self { queue, unwritten: Arc::default() }, outgoing)
+    }
+
     /// False: the connection is over.
-    pub fn say(&self, outgoing: Outgoing) -> bool {
-        self.unread.fetch_add(1, Ordering::Relaxed);
-        self.out.send(outgoing).is_ok()
+    pub fn send(&self, outgoing: Outgoing) -> bool {
+        self.unwritten.fetch_add(1, Ordering::Relaxed);
+        self.queue.send(outgoing).is_ok()
+    }
+
+    pub fn unwritten(&self) -> usize {
+        self.unwritten.load(Ordering::Relaxed)
+    }
+
+    /// What the writer counts down.
+    pub fn counter(&self) -> Arc<AtomicUsize> {
+        self.unwritten.clone()
     }
 }
 
@@ -55,7 +77,7 @@
 
 pub(crate) struct FrontClient {
     pub id: u16,
-    pub out: Words,
+    pub out: ReplySender,
     /// Cancelled by an abort, or with the connection.
     pub gone: CancellationToken,
     pub head: Option<AnswerHead>,
@@ -64,7 +86,7 @@
 
 impl FrontClient {
     fn say(&mut self, outgoing: Outgoing) -> Result<(), ClientGone> {
-        self.out.say(outgoing).then_some(()).ok_or(ClientGone)
+        self.out.send(outgoing).then_some(()).ok_or(ClientGone)
     }
 }
 
@@ -115,3 +137,38 @@
         self.fail().await;
     }
 }
+
+/// Writes answers in the order in which they are ready.
+pub(super) async fn write_out(
+    mut write: OwnedWriteHalf,
+    mut outgoing: mpsc::UnboundedReceiver<Outgoing>,
+    shared: Arc<Shared>,
+    unwritten: Arc<AtomicUsize>,
+) {
+    while let Some(next) = outgoing.recv().await {
+        let written = tokio::time::timeout(WRITE_PATIENCE, write_all(&mut write, next.pieces)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return;
+        }
+        unwritten.fetch_sub(1, Ordering::Relaxed);
+        // No wait in between: a client that has the end may use the number again.
+        if let Some(id) = next.over {
+            shared.over(id);
+        }
+    }
+}
+
+async fn write_all(write: &mut OwnedWriteHalf, pieces: Vec<Bytes>) -> std::io::Result<()> {
+    let mut slices: Vec<IoSlice<'_>> = pieces.iter().map(|p| IoSlice::new(p)).collect();
+    let mut left = &mut slices[..];
+    while !left.is_empty() {
+        let written = match write.write_vectored(left).await {
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) => return Err(e),
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(written) => written,
+        };
+        IoSlice::advance_slices(&mut left, written);
+    }
+    Ok(())
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,11 +7,11 @@
 #![forbid(unsafe_code)]
 
 pub mod board;
-mod client;
 mod connection;
 pub mod front;
 pub mod life;
 pub mod settings;
+mod shutdown;
 pub mod upstream;
 
 pub use life::{run, RunError};
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -1,28 +1,29 @@
 //! Start, new configurations, stop.
 //!
-//! Owed at SIGTERM, and by whom: what is open, and what comes for [`STILL_COMING`] on open connections, on new ones and in
-//! the door's queue, is served as ever; then each connection answers what it has, refuses what still comes, and closes
-//! ([`crate::front`]). The process ends with the last of them, at the latest with the deadline of the last request.
-//! Lists, purges and new configurations are followed to the end: attempts are still made.
+//! Owed at SIGTERM, and by whom: what is open, and what comes for a while on open connections, on new ones and in the
+//! listener's queue, is served as ever; then each connection answers what it has, refuses what still comes, and closes
+//! ([`crate::front`]). All that is open has its final answer before the process may be killed ([`crate::shutdown`]); it ends
+//! with its last connection. Lists, purges and new configurations are followed to the end: attempts are still made.
 use crate::board::{follow, lock, Taken};
 use crate::front::{accept, Front};
 use crate::settings::{Shape, ShapeError};
+use crate::shutdown::{Phase, Schedule};
 use crate::upstream::{meet_all, sweep, Lines, PlatformDesk};
 use pointspindle_edge::admission::Limits;
+use pointspindle_edge::core::Input;
 use pointspindle_edge::net::desk::{run_timers, Desk};
 use pointspindle_edge::net::keeper::{expire, Keeper};
+use pointspindle_link::Net;
 use pointspindle_platform_wire::start::{self, StartError};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
-/// Clients may come for some time after SIGTERM, by the platform's word up to 0.7 s; then a little for what is on its way.
-const STILL_COMING: Duration = Duration::from_millis(1_000);
 /// A configuration that cannot be used is read again after this at first, then twice as long each time: it may be half written.
 const READ_AGAIN: Duration = Duration::from_millis(20);
 const READ_AGAIN_MOST: Duration = Duration::from_secs(1);
@@ -85,12 +86,12 @@
         networks: Vec::new(),
     });
     helpers.spawn(expire(keeper.clone(), l.idle_us));
-    let (stopping, is_stopping) = watch::channel(false);
-    let (closing, is_closing) = watch::channel(false);
-    let front = Front::new(desk.clone(), shape.clone(), keeper, is_stopping);
-    let listener =
-        TcpListener::bind(address).await.map_err(|source| RunError::Listen { address, source })?;
-    let door = tokio::spawn(accept(listener, front, is_closing));
+    let (phase, is_phase) = watch::channel(Phase::Serving);
+    let (close, is_closed) = watch::channel(false);
+    let front = Front::new(desk.clone(), shape.clone(), keeper, is_phase);
+    let listener = Net::Tcp.listen(address).await;
+    let listener = listener.map_err(|source| RunError::Listen { address, source })?;
+    let mut door = tokio::spawn(accept(listener, front, is_closed));
     tracing::info!(name = start.name, %address, last = lock(&taken).last(), "dispatcher listens");
 
     tokio::select! {
@@ -98,11 +99,24 @@
         _ = interrupt.recv() => {}
     }
     tracing::info!(open = desk.open_requests(), "stopping");
-    // Whoever still comes is served; then the door is closed, and each connection with its last answer.
-    tokio::time::sleep(STILL_COMING).await;
-    closing.send_replace(true);
-    stopping.send_replace(true);
-    let _ = door.await;
+    let told = Instant::now();
+    let longest = shape.edge.classes.iter().map(|class| class.deadline_us).max().unwrap_or_default();
+    let schedule = Schedule::new(Duration::from_micros(longest));
+    let steps = async {
+        // Whoever still comes is served.
+        tokio::time::sleep_until(told + schedule.refuse).await;
+        phase.send_replace(Phase::Refusing);
+        tokio::time::sleep_until(told + schedule.end).await;
+        desk.tell(Input::GiveUpAll);
+        phase.send_replace(Phase::Ending);
+        tokio::time::sleep_until(told + schedule.close_listener).await;
+        close.send_replace(true);
+        std::future::pending::<()>().await
+    };
+    tokio::select! {
+        _ = &mut door => {}
+        () = steps => {}
+    }
     tracing::info!("stopped");
     Ok(())
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -285,6 +285,8 @@
     Outcome(Outcome),
     /// The client has left.
     Hangup(RequestId),
+    /// The dispatcher ends: a request gets its final answer now.
+    GiveUp(RequestId),
     Timer(u64),
     /// An object, or without one every object of the group, was purged `age` ago.
     Purge {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -309,6 +309,7 @@
             }
             Event::Outcome(outcome) => self.on_outcome(now, outcome, act),
             Event::Hangup(id) => self.close(id, act),
+            Event::GiveUp(id) => self.finish(id, act),
             Event::Timer(_) => self.on_timer(now, act),
             Event::Purge { object, group, age } => self.on_purge(now, object, group, age),
         }
