--- a/crates/edge/tests/doors.rs
+++ b/crates/edge/tests/doors.rs
@@ -158,3 +158,28 @@
     assert!(rest(&mut pinging).await.contains("idle for too long"));
     dispatcher.stop().await;
 }
+
+/// Connections that wait in the queue, each with a request on it, as the dispatcher is told to stop: none is reset unread.
+#[tokio::test]
+async fn what_waits_in_the_queue_of_a_door_that_closes_is_answered() {
+    let dispatcher = start("").await;
+    let at = dispatcher.bound().http.unwrap();
+    // Blocking, on the runtime's one thread: none of them is accepted meanwhile.
+    let queued: Vec<std::net::TcpStream> = (0..16)
+        .map(|_| {
+            let mut socket = std::net::TcpStream::connect(at).unwrap();
+            std::io::Write::write_all(&mut socket, b"GET /none HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+            socket.set_nonblocking(true).unwrap();
+            socket
+        })
+        .collect();
+    let stopped = tokio::spawn(dispatcher.stop());
+    for (n, socket) in queued.into_iter().enumerate() {
+        let mut text = Vec::new();
+        let mut socket = TcpStream::from_std(socket).unwrap();
+        let read = timeout(PATIENCE, socket.read_to_end(&mut text)).await.expect("closed in time");
+        let text = String::from_utf8_lossy(&text).into_owned();
+        assert!(read.is_ok() && text.starts_with("HTTP/1.1 404"), "connection {n}: {read:?}, {text:?}");
+    }
+    assert!(stopped.await.unwrap());
+}
--- a/crates/host/tests/service.rs
+++ b/crates/host/tests/service.rs
@@ -107,8 +107,11 @@
 }
 
 async fn link(to: SocketAddr) -> Link {
-    let (link, mut incoming) =
-        Link::start(TcpStream::connect(to).await.unwrap(), Side::Caller, LinkOptions::default());
+    over(TcpStream::connect(to).await.unwrap())
+}
+
+fn over(socket: TcpStream) -> Link {
+    let (link, mut incoming) = Link::start(socket, Side::Caller, LinkOptions::default());
     tokio::spawn(async move { while incoming.next().await.is_some() {} });
     link
 }
@@ -357,3 +360,21 @@
     let named = ask("/video/near", &fleet.origin.to_string());
     assert_eq!(get(&near, named).await.unwrap().1, body("/video/near", 1));
 }
+
+/// Connections that wait in the queue as the host is told to stop: what is asked on them is answered.
+#[tokio::test]
+async fn what_waits_in_the_queue_of_a_host_that_stops_is_answered() {
+    let origin = origin(Arc::default()).await;
+    let gateway = host("origin", None, Some(origin), "").await;
+    // Blocking, on the runtime's one thread: none of them is accepted meanwhile.
+    let queued: Vec<std::net::TcpStream> =
+        (0..16).map(|_| std::net::TcpStream::connect(gateway.bound().framed).unwrap()).collect();
+    let stopped = tokio::spawn(gateway.stop());
+    for (n, socket) in queued.into_iter().enumerate() {
+        socket.set_nonblocking(true).unwrap();
+        let link = over(TcpStream::from_std(socket).unwrap());
+        let asked = get(&link, RequestHead { fetch: None, ..ask("/video/x", "") }).await;
+        assert!(asked.is_ok(), "connection {n}: {asked:?}");
+    }
+    assert!(stopped.await.unwrap());
+}
