Doors and hosts answer what waits in their queue; a waiting first request keeps its preface

Cause: edge/net/mod.rs and host/net/mod.rs dropped their listener with its queue (16 of 16 connections reset unread); link/writer.rs State::begin lost the preface when the socket took nothing of a connection's first request, so that the peer closed and the call broke (may have run, though it never did). Ruled out for the latter: the host's stop (a system call trace shows the bare frame as the first write). Change: listeners empty their queue, past failures of accept; the codec is as before when nothing went out.

--- a/crates/edge/src/net/mod.rs
+++ b/crates/edge/src/net/mod.rs
@@ -321,53 +321,77 @@
 {
     let mut connections = JoinSet::new();
     loop {
-        let socket = tokio::select! {
+        let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = door.stopped() => break,
         };
         while connections.try_join_next().is_some() {}
-        match socket {
-            Ok((socket, peer)) => {
-                let keeper = door.keeper.clone();
-                match keeper.arrive(peer.ip()) {
-                    Ok(seat) => {
-                        door.hub.metrics.connections.inc();
-                        if door.identity.is_none() {
-                            let (served, hub) = (serve(door.clone(), socket, seat), door.hub.clone());
-                            connections.spawn(async move {
-                                served.await;
-                                hub.metrics.connections.dec();
-                            });
-                        } else {
-                            let (door, serve) = (door.clone(), serve.clone());
-                            connections.spawn(async move {
-                                // Boxed: what a handshake needs is not held by who has made it.
-                                let opened = Box::pin(door.opened(socket)).await;
-                                let hub = door.hub.clone();
-                                if let Some(line) = opened {
-                                    serve(door, line, seat).await;
-                                }
-                                hub.metrics.connections.dec();
-                            });
-                        }
-                    }
-                    Err(come_back) => {
-                        door.hub.metrics.turned_away.inc();
-                        // Over TLS no word before a handshake is understood, and that costs more than a crowd may.
-                        if door.identity.is_none() {
-                            connections
-                                .spawn(async move { keeper.turn_away(socket, speaks, come_back).await });
-                        }
-                    }
-                }
-            }
+        match accepted {
+            Ok((line, peer)) => take_in(&mut connections, &door, speaks, &serve, line, peer),
             Err(e) => door.keeper.accept_failed(e).await,
         }
     }
+    // What waits in the queue was accepted by the system, with the requests that are written on it.
+    let mut failures = 0;
+    while let Some(accepted) = listener.waiting().await {
+        match accepted {
+            Ok((line, peer)) => take_in(&mut connections, &door, speaks, &serve, line, peer),
+            Err(_) if failures == QUEUE_FAILURES => break,
+            Err(e) => {
+                failures += 1;
+                door.keeper.accept_failed(e).await;
+            }
+        }
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+/// Gives a new connection a seat and a task, or turns it away.
+fn take_in<F, Fut>(
+    connections: &mut JoinSet<()>,
+    door: &Door,
+    speaks: Speaks,
+    serve: &F,
+    line: Line,
+    peer: SocketAddr,
+) where
+    F: Fn(Door, Line, Seat) -> Fut + Clone + Send + 'static,
+    Fut: std::future::Future<Output = ()> + Send + 'static,
+{
+    let keeper = door.keeper.clone();
+    match keeper.arrive(peer.ip()) {
+        Ok(seat) if door.identity.is_none() => {
+            door.hub.metrics.connections.inc();
+            let (served, hub) = (serve(door.clone(), line, seat), door.hub.clone());
+            connections.spawn(async move {
+                served.await;
+                hub.metrics.connections.dec();
+            });
+        }
+        Ok(seat) => {
+            door.hub.metrics.connections.inc();
+            let (door, serve) = (door.clone(), serve.clone());
+            connections.spawn(async move {
+                // Boxed: what a handshake needs is not held by who has made it.
+                let opened = Box::pin(door.opened(line)).await;
+                let hub = door.hub.clone();
+                if let Some(line) = opened {
+                    serve(door, line, seat).await;
+                }
+                hub.metrics.connections.dec();
+            });
+        }
+        Err(come_back) => {
+            door.hub.metrics.turned_away.inc();
+            // Over TLS no word before a handshake is understood, and that costs more than a crowd may.
+            if door.identity.is_none() {
+                connections.spawn(async move { keeper.turn_away(line, speaks, come_back).await });
+            }
+        }
+    }
+}
+
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
--- a/crates/host/src/net/mod.rs
+++ b/crates/host/src/net/mod.rs
@@ -8,7 +8,7 @@
 use flow::Flow;
 use pointspindle::Micros;
 use pointspindle_config::{CacheSettings, Role, StorePlace};
-use pointspindle_link::{Inbound, Line, Link, LinkOptions, Listener, Net};
+use pointspindle_link::{AcceptFailure, Inbound, Line, Link, LinkOptions, Listener, Net};
 use pointspindle_store::{Folder, Key, Meta, Options, Stats, Store, StoreError, What};
 use pointspindle_wire::streams::Side;
 use pointspindle_wire::*;
@@ -24,6 +24,10 @@
 
 /// The host's clock starts here, so that its process may have started before.
 const EPOCH: Micros = 1_000_000_000_000;
+/// After a shortage a connection is accepted again so much later.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Failures of `accept` that a closing listener goes past before what may still wait there is given up.
+const QUEUE_FAILURES: usize = 16;
 /// Share by which one answer moves the share of hits that is told.
 const HIT_STEP: f64 = 0.02;
 
@@ -315,6 +319,7 @@
     operators: bool,
 ) {
     let mut connections = JoinSet::new();
+    let most = shared.settings.max_connections;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -322,13 +327,25 @@
         };
         while connections.try_join_next().is_some() {}
         match accepted {
-            Ok(_) if connections.len() >= shared.settings.max_connections => {}
+            Ok(_) if connections.len() >= most => {}
             Ok((line, _)) => {
                 connections.spawn(serve(shared.clone(), line, stop.clone(), operators));
             }
+            Err(e) => accept_failed(e).await,
+        }
+    }
+    // What waits in the queue was accepted by the system, with the requests that are written on it.
+    let mut failures = 0;
+    while let Some(accepted) = listener.waiting().await {
+        match accepted {
+            Ok(_) if connections.len() >= most => {}
+            Ok((line, _)) => {
+                connections.spawn(serve(shared.clone(), line, stop.clone(), operators));
+            }
+            Err(_) if failures == QUEUE_FAILURES => break,
             Err(e) => {
-                tracing::warn!(error = %e, "accept failed");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                failures += 1;
+                accept_failed(e).await;
             }
         }
     }
@@ -336,6 +353,16 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Returns when to accept again.
+async fn accept_failed(error: std::io::Error) {
+    if AcceptFailure::of(&error) == AcceptFailure::Connection {
+        tracing::debug!(%error, "a connection died before it was accepted");
+        return tokio::task::yield_now().await;
+    }
+    tracing::warn!(%error, "accept failed");
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
 }
--- a/crates/host/tests/service.rs
+++ b/crates/host/tests/service.rs
@@ -373,7 +373,9 @@
     for socket in queued {
         socket.set_nonblocking(true).unwrap();
         let link = over(TcpStream::from_std(socket).unwrap());
-        asking.spawn(async move { get(&link, RequestHead { fetch: None, ..ask("/video/x", "") }).await });
+        asking.spawn(async move {
+            get(&link, RequestHead { key: "k1".into(), fetch: None, ..ask("/enrol/1", "") }).await
+        });
     }
     // Told before any of the tasks above runs.
     let stopped = tokio::spawn(gateway.stop());
--- a/crates/link/src/writer.rs
+++ b/crates/link/src/writer.rs
@@ -120,6 +120,8 @@
             return true;
         };
         let mut bytes = BytesMut::new();
+        // If none of it goes out, nothing is encoded: the preface, too, is still to be sent.
+        let before = self.codec.clone();
         if let Err(e) = self.codec.encode(Frame::Request(request.id, head), &mut bytes) {
             self.die(&e.to_string());
             return true;
@@ -134,6 +136,7 @@
                 }
             }
             Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                self.codec = before;
                 self.pieces.push_front(Piece::Request(request));
                 self.unsent += 1;
                 return false;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -93,7 +93,7 @@
 }
 
 /// Codec of one connection; sends and expects the preface first.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct FrameCodec {
     preface_sent: bool,
     preface_seen: bool,
