Failing tests: a wall clock stepped under a running dispatcher

Measured: a step of 1 s forward before a purge gives a copy of 1,066 ms 67 ms after the purge; after 5 s a host that has just started serves 200 of 200 requests at once. Backward steps and a clock set right do no harm.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -1,4 +1,5 @@
 //! `pointspindle run` from outside: clients, cache hosts and a notice board on loopback.
+mod clocks;
 mod crowd;
 mod endings;
 mod faults;
