Ages of wall-clock moments in one place, unmoved by steps of the clock

Seen: after a step of 1 s forward a purge told 67 ms ago allowed copies of 1,066 ms; by an hour it had no effect; after 5 s a host that has just started counted as warm (200 of 200 requests). Cause: platform/board.rs ago, etcd/feed.rs, host/net/mod.rs and host/net/sources.rs subtract from the wall clock of now. Ruled out: deadlines, waits and leases, which are monotonic already; backward steps, which only made ages shorter. Change: crates/clock keeps the wall clock of the start beside the monotonic one; an age is the shorter of the two answers; a purge that the board tells is not older than since all before it was read. The host's store runs on steady time, so that a step back does not freeze ages of copies. Steps are logged. Not to be known: a clock that is wrong at the start and stays so, for what the configuration holds then.

--- a/crates/cli/src/etcd.rs
+++ b/crates/cli/src/etcd.rs
@@ -150,7 +150,7 @@
     record.weight = weight.unwrap_or(record.weight);
     if cold {
         record.start += 1;
-        record.started_unix_ms = Some(feed::wall_ms());
+        record.started_unix_ms = Some(pointspindle_clock::stamp_ms());
     }
     Ok(Some(record))
 }
--- a/crates/etcd/src/feed.rs
+++ b/crates/etcd/src/feed.rs
@@ -9,7 +9,8 @@
 };
 use crate::watcher::{Change, Header, Input, KeyValue, Micros, Output, Revision, Watcher};
 use futures_util::StreamExt;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use pointspindle_clock::WallClock;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -19,11 +20,6 @@
 /// Answers of etcd that wait to be handled; the stream waits beyond that.
 const QUEUE: usize = 64;
 
-/// Milliseconds since 1970.
-pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-}
-
 struct Asked {
     number: u64,
     task: AbortHandle,
@@ -39,7 +35,7 @@
 
 /// Runs until `tell` says that nobody listens any more (false). `prefix` as in [`layout`].
 pub async fn run(etcd: Etcd, prefix: String, mut watcher: Watcher, mut tell: impl FnMut(Output) -> bool) {
-    let born = Instant::now();
+    let (born, clock) = (Instant::now(), WallClock::start());
     let (sender, mut said) = mpsc::channel(QUEUE);
     let mut asked: Option<Asked> = None;
     let mut number = 0;
@@ -57,7 +53,7 @@
             continue;
         }
         let mut out = Vec::new();
-        watcher.handle(born.elapsed().as_micros() as Micros, wall_ms(), input, &mut out);
+        watcher.handle(born.elapsed().as_micros() as Micros, clock.earlier_ms(), input, &mut out);
         for output in out {
             match output {
                 Output::AskSnapshot => {
--- a/crates/etcd/src/watcher.rs
+++ b/crates/etcd/src/watcher.rs
@@ -250,7 +250,8 @@
         }
     }
 
-    /// `wall_ms`: milliseconds since 1970, for members' starts only.
+    /// `wall_ms`: milliseconds since 1970, for members' starts only: by the clock that makes them younger, where a machine's wall
+    /// clock has been stepped.
     pub fn handle(&mut self, now: Micros, wall_ms: u64, input: Input, out: &mut Vec<Output>) {
         if !matches!(input, Input::Tick | Input::Mark { .. }) {
             self.heard = now;
--- a/crates/host/src/net/answer.rs
+++ b/crates/host/src/net/answer.rs
@@ -1,7 +1,7 @@
 //! One request: what the desk says of it is carried out, from the store or from a fill.
 use super::flow::{Flow, FlowEnd, FlowPart, FlowReader};
 use super::sources::{Began, Failed, OWN};
-use super::{wall_ms, Shared};
+use super::Shared;
 use crate::desk::{Asked, FillId, Held, Verdict};
 use bytes::Bytes;
 use pointspindle::Micros;
@@ -469,7 +469,7 @@
     async fn run(self, place: Place) {
         let longest = Duration::from_micros(place.shared.settings.fill_us);
         place.shared.count(|c| c.fills += 1);
-        let asked_ms = wall_ms();
+        let asked_ms = place.shared.clock.steady_ms();
         // Begun before it is asked for: a purge in between strikes what the source may have taken before it.
         let begun = place.shared.store.as_ref().map(|store| store.begin(Meta::default()));
         let asking = place.shared.sources.ask(&self.source, self.request.clone(), self.uncacheable);
@@ -576,7 +576,8 @@
             place.flow.data(data, slow).await;
         }
         if let Some(filling) = fill {
-            let committed = tokio::task::spawn_blocking(move || filling.commit(wall_ms())).await;
+            let clock = shared.clock;
+            let committed = tokio::task::spawn_blocking(move || filling.commit(clock.steady_ms())).await;
             if let Ok(Err(e)) = committed {
                 tracing::debug!(object = %self.request.object, error = %e, "not kept");
             }
@@ -599,7 +600,7 @@
                 rank: meta.rank.max(found.meta.rank),
                 ..meta
             };
-            shared.store.as_ref()?.renew(&found, meta, wall_ms()).ok()
+            shared.store.as_ref()?.renew(&found, meta, shared.clock.steady_ms()).ok()
         });
         renewed.await.ok().flatten().unwrap_or(false)
     }
--- a/crates/host/src/net/mod.rs
+++ b/crates/host/src/net/mod.rs
@@ -7,6 +7,7 @@
 use crate::lease::{Grant, Ledger, UserId};
 use flow::Flow;
 use pointspindle::Micros;
+use pointspindle_clock::WallClock;
 use pointspindle_config::{CacheSettings, Role, StorePlace};
 use pointspindle_link::{AcceptFailure, Inbound, Line, Link, LinkOptions, Listener, Net};
 use pointspindle_store::{Folder, Key, Meta, Options, Stats, Store, StoreError, What};
@@ -17,7 +18,7 @@
 use std::hash::{BuildHasher, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -80,6 +81,8 @@
     pub store: Option<Store>,
     pub sources: Sources,
     born: Instant,
+    /// Ages of copies are spans of real time, whatever steps the wall clock makes while the process runs.
+    pub clock: WallClock,
     /// Of this process, and since when it counts as cold; none: it came back warm.
     hello: HelloHead,
 }
@@ -99,26 +102,23 @@
     }
 }
 
-pub(crate) fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-}
-
-fn open_store(place: &StorePlace) -> Result<Store, StoreError> {
+fn open_store(place: &StorePlace, clock: &WallClock) -> Result<Store, StoreError> {
     let options = Options {
         capacity: place.capacity,
         segment: place.segment,
         block: place.block,
         memory: place.memory,
     };
-    Store::open(Arc::new(Folder::lock(&place.path)?), options, wall_ms())
+    Store::open(Arc::new(Folder::lock(&place.path)?), options, clock.steady_ms())
 }
 
 impl Host {
     pub async fn start(settings: CacheSettings, net: Net) -> Result<Self, HostError> {
+        let clock = WallClock::start();
         let mut store = None;
         if let Some(place) = settings.store.clone() {
             let path = place.path.clone();
-            let opened = tokio::task::spawn_blocking(move || open_store(&place)).await;
+            let opened = tokio::task::spawn_blocking(move || open_store(&place, &clock)).await;
             let opened = opened.unwrap_or_else(|e| Err(StoreError::Disk(std::io::Error::other(e))));
             store = Some(opened.map_err(|e| HostError::Store(path, e))?);
         }
@@ -154,13 +154,14 @@
             hits: 0.0,
             open: 0,
         };
-        let sources = Sources::new(&settings, net);
+        let sources = Sources::new(&settings, net, clock);
         let shared = Arc::new(Shared {
             locked: Mutex::new(locked),
             settings,
             store,
             sources,
             born: Instant::now(),
+            clock,
             hello,
         });
         let (stop, stopping) = watch::channel(false);
@@ -307,7 +308,7 @@
 
     /// How old a copy is.
     pub fn age(&self, meta: &Meta) -> Micros {
-        let now = self.store.as_ref().map_or(0, |s| s.now_ms(wall_ms()));
+        let now = self.store.as_ref().map_or(0, |s| s.now_ms(self.clock.steady_ms()));
         now.saturating_sub(meta.born_ms) * 1_000
     }
 }
@@ -479,8 +480,8 @@
 async fn keep_store(shared: Arc<Shared>) {
     let (Some(store), Some(place)) = (shared.store.clone(), shared.settings.store.clone()) else { return };
     loop {
-        let reading = store.clone();
-        match tokio::task::spawn_blocking(move || reading.recover(wall_ms())).await {
+        let (reading, clock) = (store.clone(), shared.clock);
+        match tokio::task::spawn_blocking(move || reading.recover(clock.steady_ms())).await {
             Ok(Ok(true)) => {}
             Ok(Ok(false)) => break,
             Ok(Err(e)) => {
--- a/crates/host/src/net/sources.rs
+++ b/crates/host/src/net/sources.rs
@@ -2,6 +2,7 @@
 use crate::fresh;
 use bytes::Bytes;
 use pointspindle::Micros;
+use pointspindle_clock::WallClock;
 use pointspindle_config::{CacheSettings, OriginPlace};
 use pointspindle_link::{Call, CallEnd, Idle, Link, LinkOptions, Net, Part, Reader, WriteHalf};
 use pointspindle_wire::http::{HttpPiece, ResponseCodec};
@@ -10,7 +11,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
@@ -41,6 +42,7 @@
     place: OriginPlace,
     idle: Mutex<Vec<Connection>>,
     places: Arc<Semaphore>,
+    clock: WallClock,
 }
 
 /// What a source's head says.
@@ -73,10 +75,10 @@
 pub const OWN: &str = "origin";
 
 impl Sources {
-    pub fn new(settings: &CacheSettings, net: Net) -> Self {
+    pub fn new(settings: &CacheSettings, net: Net, clock: WallClock) -> Self {
         let origin = settings.origin.clone().map(|place| {
             let places = Arc::new(Semaphore::new(place.connections));
-            Arc::new(HttpOrigin { place, idle: Mutex::new(Vec::new()), places })
+            Arc::new(HttpOrigin { place, idle: Mutex::new(Vec::new()), places, clock })
         });
         let connect = Duration::from_micros(settings.connect_us);
         Self { net, connect, links: Default::default(), origin }
@@ -155,7 +157,8 @@
             return match connection.read.next().await {
                 Some(Ok(HttpPiece::Head { status, fields, keep_alive })) => {
                     let took = asked.elapsed().as_micros() as Micros;
-                    let (head, no_store) = head(status, &fields, took);
+                    let now_s = origin.clock.steady().as_secs();
+                    let (head, no_store) = head(status, &fields, took, now_s);
                     let home = origin.clone();
                     let connection = Some(connection);
                     let answer = HttpAnswering { connection, keep: keep_alive, home, _place: place };
@@ -208,9 +211,8 @@
     out + "\r\n"
 }
 
-fn head(status: u16, fields: &[(String, String)], took: Micros) -> (AnswerHead, bool) {
+fn head(status: u16, fields: &[(String, String)], took: Micros, now_s: u64) -> (AnswerHead, bool) {
     let find = |name: &str| fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.clone());
-    let now_s = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
     let fresh = fresh::freshness(fields, took, now_s);
     let kept = matches!(status, 200 | 304);
     let head = AnswerHead {
--- a/crates/lab/src/day/by_etcd.rs
+++ b/crates/lab/src/day/by_etcd.rs
@@ -10,7 +10,7 @@
 use crate::sockets::Stage;
 use pointspindle::ObjectId;
 use pointspindle_etcd::layout::{MemberRecord, PurgeRecord, State};
-use pointspindle_etcd::{feed, writer, Access, Etcd};
+use pointspindle_etcd::{writer, Access, Etcd};
 use pointspindle_wire::ListForm;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -95,7 +95,7 @@
             kind,
             cell: 0,
             start: line.start,
-            started_unix_ms: ago.map(|ago| feed::wall_ms().saturating_sub(ago / 1_000)),
+            started_unix_ms: ago.map(|ago| pointspindle_clock::stamp_ms().saturating_sub(ago / 1_000)),
         });
         writer::member(&self.etcd, PREFIX, &line.address, |_| Ok(record.clone())).await.map(drop)
     }
--- a/crates/lab/src/scale/parts.rs
+++ b/crates/lab/src/scale/parts.rs
@@ -3,9 +3,9 @@
 use crate::etcd::traffic::Figures;
 use crate::etcd::StandIn;
 use hdrhistogram::Histogram;
+use pointspindle_clock::stamp_ms;
 use pointspindle_config::{parse, parse_cache};
 use pointspindle_edge::{Ears, Hollow, Items, Prepared, Told};
-use pointspindle_etcd::feed::wall_ms;
 use pointspindle_etcd::layout::{MemberRecord, State};
 use pointspindle_etcd::EtcdSource;
 use pointspindle_host::Host;
@@ -253,7 +253,7 @@
         kind: "cache".into(),
         cell: number as u64,
         start: 1,
-        started_unix_ms: Some(wall_ms().saturating_sub(600_000)),
+        started_unix_ms: Some(stamp_ms().saturating_sub(600_000)),
     }
 }
 
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -9,14 +9,16 @@
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::TokioIo;
 use pointspindle::Micros;
+use pointspindle_clock::WallClock;
 use pointspindle_edge::core::Input;
 use pointspindle_platform_wire::board::{Host, Known, Notice, Sse, SseCodec};
 use pointspindle_wire::{ListForm, ListHead, MemberLine, PurgeHead, WireState};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::codec::Decoder;
 
 /// A comment comes each second: silent for longer, a stream is of no more use.
@@ -30,22 +32,20 @@
 /// A gap that the board itself tells again, asked from the same number: there is nothing to be had in between.
 const GAPS_MOST: u32 = 2;
 
-fn unix_us() -> i128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i128)
-}
-
-/// How long ago a moment of the platform's clock was: the one place where that clock meets the core's.
-fn ago(unix_ms: f64) -> Micros {
-    (unix_us() - (unix_ms * 1_000.0) as i128).max(0) as Micros
+fn micros(span: Duration) -> Micros {
+    span.as_micros() as Micros
 }
 
 /// What has been taken of the board, by whoever reads it.
 pub struct Taken {
     desk: Arc<PlatformDesk>,
     shape: Arc<Shape>,
+    clock: WallClock,
     last: u64,
     lists: u64,
     gaps: u32,
+    /// When all that the board had told by then was read: what is told later is not older. None: nothing was.
+    up_to_date: Option<Instant>,
 }
 
 /// For whoever reads a board; never held over a wait.
@@ -58,8 +58,8 @@
 pub struct Gap;
 
 impl Taken {
-    pub fn new(desk: Arc<PlatformDesk>, shape: Arc<Shape>) -> Self {
-        Self { desk, shape, last: 0, lists: 0, gaps: 0 }
+    pub fn new(desk: Arc<PlatformDesk>, shape: Arc<Shape>, clock: WallClock) -> Self {
+        Self { desk, shape, clock, last: 0, lists: 0, gaps: 0, up_to_date: None }
     }
 
     pub fn last(&self) -> u64 {
@@ -77,6 +77,7 @@
         }
         if first {
             self.last = self.last.max(known.rev);
+            self.read_all(Instant::now());
         }
     }
 
@@ -98,14 +99,26 @@
         Ok(())
     }
 
+    /// All that was told before `at` is taken.
+    fn read_all(&mut self, at: Instant) {
+        self.up_to_date = self.up_to_date.max(Some(at));
+    }
+
+    /// How long ago a purge was: by its stamp, and not longer than since it can have been told at the earliest. Shorter than it
+    /// is, it only forbids copies that would do.
+    fn purged_ago(&self, unix_ms: f64) -> Duration {
+        // Purged within that millisecond: copies of all of it are too old.
+        let stamped = self.clock.age_of_ms(unix_ms + 1.0);
+        self.up_to_date.map_or(stamped, |at| stamped.min(at.elapsed()))
+    }
+
     fn apply(&mut self, notice: Notice) {
         self.last = notice.rev;
         if let Some(pool) = notice.pool {
             self.pool(pool.whole, pool.hosts);
         }
         if let Some(flush) = notice.flush {
-            // Purged within that millisecond: copies of all of it are too old.
-            let age_us = ago(flush.ms + 1.0);
+            let age_us = micros(self.purged_ago(flush.ms));
             let group = flush.collection.unwrap_or_default();
             self.desk.purge(PurgeHead { object: flush.asset, group, age_us, seq: notice.rev });
         }
@@ -148,7 +161,7 @@
                 kind: role.word().to_owned(),
                 cell: host.block,
                 start: host.born_ms as u64,
-                started_ago_us: (host.born_ms > 0.0).then(|| ago(host.born_ms)),
+                started_ago_us: (host.born_ms > 0.0).then(|| micros(self.clock.age_of_ms(host.born_ms))),
             });
         }
         // Numbered here: events come in order and once, so nothing is missing between two lists.
@@ -230,6 +243,7 @@
     let mut body = answer.into_body();
     let (mut codec, mut buffer) = (SseCodec::default(), BytesMut::new());
     loop {
+        let waiting = Instant::now();
         let frame = tokio::time::timeout(SILENT, body.frame());
         let Some(frame) = frame.await.map_err(in_time("a sign of life"))? else { break };
         let Ok(data) = frame.map_err(|e| text(&e))?.into_data() else { continue };
@@ -242,6 +256,8 @@
             let took = lock(taken).take(notice);
             took.map_err(|Gap| "an event is missing".to_owned())?;
         }
+        // What the next bytes tell came after these were waited for.
+        lock(taken).read_all(waiting);
     }
     drop(connection);
     Ok(())
--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -9,6 +9,7 @@
 use crate::settings::{Shape, ShapeError};
 use crate::shutdown::{Phase, Schedule};
 use crate::upstream::{meet_all, sweep, Lines, PlatformDesk};
+use pointspindle_clock::WallClock;
 use pointspindle_edge::admission::Limits;
 use pointspindle_edge::core::Input;
 use pointspindle_edge::net::desk::{run_timers, Desk};
@@ -46,6 +47,7 @@
 
 /// Runs a dispatcher until SIGTERM, and returns once all that was taken is answered. `listen` goes before the file's own.
 pub async fn run(file: PathBuf, listen: Option<String>) -> Result<(), RunError> {
+    let clock = WallClock::start();
     let mut stop = signal(SignalKind::terminate())?;
     let again = signal(SignalKind::hangup())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -66,12 +68,12 @@
     let mut helpers = JoinSet::new();
     helpers.spawn(run_timers(desk.clone()));
     helpers.spawn(sweep(desk.clone()));
-    helpers.spawn(figures(desk.clone()));
+    helpers.spawn(figures(desk.clone(), clock));
     if let Some(wanted) = meetings {
         helpers.spawn(meet_all(desk.clone(), wanted));
     }
     // Drains and purges are known before the first request.
-    let mut taken = Taken::new(desk.clone(), shape.clone());
+    let mut taken = Taken::new(desk.clone(), shape.clone(), clock);
     taken.known(start.known);
     let taken = Arc::new(Mutex::new(taken));
     let (board, named) = watch::channel(start.board);
@@ -147,9 +149,12 @@
     }
 }
 
-async fn figures(desk: Arc<PlatformDesk>) {
+async fn figures(desk: Arc<PlatformDesk>, clock: WallClock) {
     loop {
         tokio::time::sleep(FIGURES).await;
+        if let Some(step_ms) = clock.step_ms() {
+            tracing::warn!(step_ms, "the wall clock has been stepped since the start");
+        }
         let (connections, members) = desk.side.count();
         tracing::info!(
             open = desk.open_requests(),
