--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod shutdown;
 mod stage;
 mod syscalls;
+mod unreadable;
 
 use bytes::BytesMut;
 use pointspindle_platform_wire::fastcgi::*;
