Failing test: a store whose disk fails for a while and recovers

Result: three truncations fail, the disk works again, the store takes nothing more. The simulated disk can fail truncations.

--- a/crates/store/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -42,6 +42,8 @@
     room: Option<usize>,
     /// Syncs that fail.
     bad_syncs: u32,
+    /// Truncations that fail.
+    bad_truncates: u32,
     dead: bool,
 }
 
@@ -89,6 +91,10 @@
         self.lock().bad_syncs = count;
     }
 
+    pub fn fail_truncates(&self, count: u32) {
+        self.lock().bad_truncates = count;
+    }
+
     /// Flips a bit of a file, as it is and as it was synced.
     pub fn flip(&self, name: &str, offset: usize) -> bool {
         let mut state = self.lock();
@@ -299,6 +305,10 @@
     fn truncate(&self, len: u64) -> Result<()> {
         let mut state = self.0.lock();
         state.live()?;
+        if state.bad_truncates > 0 {
+            state.bad_truncates -= 1;
+            return Err(Error::other("the disk cannot truncate"));
+        }
         let content = &mut state.files[self.1];
         content.now.truncate(len as usize);
         content.cut = true;
--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -403,3 +403,42 @@
     drop(first);
     Folder::lock(folder.path()).unwrap();
 }
+
+/// Neither a write nor taking it back works for a while (no room, then errors of the disk): once the disk works again the store
+/// does, and what it took meanwhile is held, now and after a restart.
+#[test]
+fn a_disk_that_recovers_is_written_to_again() {
+    let key = |object: u64| meta(object, 1).key();
+    for sync_fails in [false, true] {
+        let disk = SimDisk::default();
+        let store = Store::open(Arc::new(disk.clone()), OPTIONS, 1_000).unwrap();
+        let fill = |store: &Store, object: u64| {
+            let mut fill = store.begin(meta(object, 1));
+            fill.write(&[object as u8; 30_000]).and_then(|()| fill.commit(1_000))
+        };
+        fill(&store, 1).unwrap();
+        store.sync().unwrap();
+        disk.fail_truncates(3);
+        if sync_fails {
+            fill(&store, 2).unwrap();
+            disk.fail_syncs(1);
+            assert!(store.sync().is_err());
+        } else {
+            disk.room(Some(40_000));
+            assert!(fill(&store, 2).is_err());
+            disk.room(None);
+        }
+        for n in 0..2 {
+            assert!(fill(&store, 3).is_err(), "try {n}: it cannot be taken back yet");
+            assert!(store.get(&key(1)).is_some(), "what is held is still given out");
+        }
+        fill(&store, 3).unwrap_or_else(|e| panic!("the disk works again: {e}"));
+        store.purge(&What::Object("/o/1".into())).unwrap();
+        store.sync().unwrap();
+        for store in [store, Store::open(Arc::new(disk.after_crash(|| false)), OPTIONS, 2_000).unwrap()] {
+            store.recover_all(2_000).unwrap();
+            let held = [1, 2, 3].map(|object| store.get(&key(object)).is_some());
+            assert_eq!(held, [false, false, true], "a sync failed: {sync_fails}");
+        }
+    }
+}
