State files and stores that could not be written are written again; state told once

Cause: edge/net/mod.rs Prepared::open read the state file a second time, after a source had told newer lists, so that a member that drains was ready again; edge/net/saver.rs waited for the next change after a failed write; store/write.rs closed the store for good after one truncation that failed; core/state.rs took the time across a restart from two wall clocks. Ruled out: the saver's own writing between (it runs only once the doors are open). Change: the state is told once; a failed write is tried again after 50 ms to 1 s, five times at the end; ends that cannot be truncated are owed and tried before each write; the span across a restart comes from the machine's clock since its boot, and where that is not known purges and starts count as young as they were.

--- a/crates/edge/src/core/state.rs
+++ b/crates/edge/src/core/state.rs
@@ -1,7 +1,9 @@
 //! What a dispatcher keeps over a restart, and the form of its file: one line (magic, version, checksum, length)
 //! and a JSON text. A file that is torn or not ours is told from one that is absent, and never half believed.
+use pointspindle_clock::BootMoment;
 use pointspindle_wire::{ListForm, ListHead, MemberLine, PurgeHead};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 const MAGIC: &str = "pointspindle-state";
 const VERSION: u32 = 1;
@@ -27,11 +29,21 @@
     age_us: u64,
 }
 
+/// A moment within one boot of the machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct SavedAt {
+    boot: String,
+    since_boot_us: u64,
+}
+
 /// The list in force and the recent purges, at a moment.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// Wall clock at which ages were right, milliseconds since 1970.
+    /// Wall clock at which ages were right, milliseconds since 1970: for people, and for programs of before the next field.
     saved_unix_ms: u64,
+    /// The same moment by the machine's clock since its boot, which no step moves.
+    #[serde(default)]
+    saved: Option<SavedAt>,
     seq: u64,
     members: Vec<KeptMember>,
     purges: Vec<KeptPurge>,
@@ -62,15 +74,18 @@
         let purge = |p: PurgeHead| KeptPurge { object: p.object, group: p.group, age_us: p.age_us };
         Self {
             saved_unix_ms: 0,
+            saved: None,
             seq: list.seq,
             members: list.members.into_iter().map(member).collect(),
             purges: purges.into_iter().map(purge).collect(),
         }
     }
 
-    /// The file's bytes, with the wall clock of now.
-    pub fn to_bytes(&self, unix_ms: u64) -> Vec<u8> {
-        let stamped = Self { saved_unix_ms: unix_ms, ..self.clone() };
+    /// The file's bytes, with both clocks of now.
+    pub fn to_bytes(&self, unix_ms: u64, now: Option<&BootMoment>) -> Vec<u8> {
+        let saved =
+            now.map(|now| SavedAt { boot: now.boot.clone(), since_boot_us: now.since.as_micros() as u64 });
+        let stamped = Self { saved_unix_ms: unix_ms, saved, ..self.clone() };
         let text = serde_json::to_vec(&stamped).expect("plain data is always JSON");
         let sum = crc32fast::hash(&text);
         let mut out = format!("{MAGIC} {VERSION} {sum:08x} {}\n", text.len()).into_bytes();
@@ -98,10 +113,10 @@
         serde_json::from_slice(text).map_err(|e| StateError::Torn(e.to_string()))
     }
 
-    /// As told after a restart, `unix_ms` being the wall clock of now. A wall clock that ran backwards makes
-    /// purges younger than they are, which only forbids more copies.
-    pub fn told(&self, unix_ms: u64) -> (ListHead, Vec<PurgeHead>) {
-        let since_us = unix_ms.saturating_sub(self.saved_unix_ms).saturating_mul(1_000);
+    /// As told after a restart. Where the machine was booted in between, or does not tell that it was not, nobody knows for how
+    /// long: purges and starts count as young as they were, which only forbids more copies and spares members.
+    pub fn told(&self, now: Option<&BootMoment>) -> (ListHead, Vec<PurgeHead>) {
+        let since_us = now.and_then(|now| self.span_until(now)).unwrap_or_default();
         let member = |m: &KeptMember| MemberLine {
             address: m.address.clone(),
             state: m.state,
@@ -122,4 +137,11 @@
         let list = ListHead { form: ListForm::Cached as i32, seq: self.seq, members };
         (list, self.purges.iter().map(purge).collect())
     }
+
+    fn span_until(&self, now: &BootMoment) -> Option<u64> {
+        let saved = self.saved.as_ref()?;
+        let since = Duration::from_micros(saved.since_boot_us);
+        let span = BootMoment { boot: saved.boot.clone(), since }.until(now)?;
+        Some(span.as_micros() as u64)
+    }
 }
--- a/crates/edge/src/net/mod.rs
+++ b/crates/edge/src/net/mod.rs
@@ -112,9 +112,6 @@
             Identity::load(files, t.client_authority.clone())
         };
         let identity = settings.tls.as_ref().map(tls).transpose()?.map(Arc::new);
-        if !saver::restore(&hub).await && !settings.members.is_empty() {
-            hub.members(static_list(&settings));
-        }
         let (stop, stopping) = watch::channel(false);
         let mut bound = Bound::default();
         let l = &settings.listen;
@@ -233,7 +230,7 @@
         };
         let drained = tokio::time::timeout(longest, drained).await.is_ok();
         tracing::info!(drained, left = self.hub.open_requests(), "dispatcher stops");
-        saver::save_now(&self.hub).await;
+        saver::save_at_the_end(&self.hub).await;
         self.doors.shutdown().await;
         self.helpers.shutdown().await;
         drained
--- a/crates/edge/src/net/saver.rs
+++ b/crates/edge/src/net/saver.rs
@@ -1,17 +1,20 @@
 //! The state file: written whole beside its place, synced, renamed; read once at the start.
 use super::upstream::Hub;
 use crate::core::state::{Snapshot, MAX_FILE};
+use pointspindle_clock::{stamp_ms, BootMoment};
 use std::io::{Read, Write};
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// Least time between two writings: many purges in a moment are one file.
 const PAUSE: Duration = Duration::from_millis(20);
-
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-}
+/// A file that could not be written is written again after this at first, then twice as long each time: the disk may be full for
+/// a while.
+const AGAIN: Duration = Duration::from_millis(50);
+const AGAIN_MOST: Duration = Duration::from_secs(1);
+/// At the end of the process so many tries are made.
+const LAST_TRIES: u32 = 5;
 
 /// Tells the hub what an earlier run left; false if there is nothing to tell.
 pub(crate) async fn restore(hub: &Arc<Hub>) -> bool {
@@ -20,7 +23,7 @@
     let read = tokio::task::spawn_blocking(move || read(&path)).await;
     match read {
         Ok(Ok(Some(snapshot))) => {
-            let (list, purges) = snapshot.told(unix_ms());
+            let (list, purges) = snapshot.told(BootMoment::now().as_ref());
             tracing::info!(file = shown, members = list.members.len(), purges = purges.len(), "state read");
             for purge in purges {
                 hub.purge(purge);
@@ -57,7 +60,8 @@
     beside.push(".new");
     let beside = Path::new(&beside);
     let mut file = std::fs::File::create(beside)?;
-    file.write_all(&snapshot.to_bytes(unix_ms()))?;
+    let bytes = snapshot.to_bytes(stamp_ms(), BootMoment::now().as_ref());
+    file.write_all(&bytes)?;
     file.sync_all()?;
     std::fs::rename(beside, path)?;
     // The name is durable once its folder is.
@@ -65,21 +69,40 @@
     std::fs::File::open(folder)?.sync_all()
 }
 
-pub(crate) async fn save_now(hub: &Arc<Hub>) {
-    let Some(path) = hub.settings.state_file.clone() else { return };
+/// Writes what holds now; false: the old file stays.
+async fn save(hub: &Arc<Hub>) -> bool {
+    let Some(path) = hub.settings.state_file.clone() else { return true };
     let snapshot = hub.snapshot();
     let shown = path.display().to_string();
     let written = tokio::task::spawn_blocking(move || write(&path, &snapshot)).await;
-    if let Ok(Err(e)) = written {
-        tracing::error!(file = shown, error = %e, "the state file cannot be written; the old one stays");
+    if let Ok(Err(e)) = &written {
+        tracing::error!(file = shown, error = %e, "the state file cannot be written yet; the old one stays");
     }
+    matches!(written, Ok(Ok(())))
 }
 
-/// Writes the file after each change, one at a time.
+/// The last writing of a process.
+pub(crate) async fn save_at_the_end(hub: &Arc<Hub>) {
+    let mut pause = AGAIN;
+    for _ in 1..LAST_TRIES {
+        if save(hub).await {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+        pause *= 2;
+    }
+    save(hub).await;
+}
+
+/// Writes the file after each change, one at a time, and again until what could not be written is.
 pub(crate) async fn run(hub: Arc<Hub>) {
     loop {
         hub.dirty.notified().await;
-        save_now(&hub).await;
+        let mut pause = AGAIN;
+        while !save(&hub).await {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(AGAIN_MOST);
+        }
         tokio::time::sleep(PAUSE).await;
     }
 }
--- a/crates/store/src/store/mod.rs
+++ b/crates/store/src/store/mod.rs
@@ -60,8 +60,9 @@
     Purged,
     #[error("{got} bytes came of {told}")]
     Short { told: u64, got: u64 },
-    /// A write or a sync failed and could not be taken back: what is held is still given out.
-    #[error("the store takes nothing more: {0}")]
+    /// A write or a sync failed and could not be taken back so far: what is held is still given out, and each later write tries
+    /// again.
+    #[error("the store takes nothing for now: {0}")]
     Closed(String),
 }
 
@@ -114,6 +115,14 @@
     strikes: Vec<(u32, Word)>,
 }
 
+/// A segment whose end is not trusted and could not be truncated so far. Forgotten once it is.
+struct Uncut {
+    segment: u32,
+    at: u32,
+    /// Of one that is not written to any more: its records, for the summary that is owed with the cut.
+    records: Option<Vec<u8>>,
+}
+
 struct Inner {
     index: Index,
     segments: BTreeMap<u32, Segment>,
@@ -132,7 +141,8 @@
     owed: Vec<Word>,
     /// The segment that is being cleaned.
     victim: Option<u32>,
-    closed: Option<String>,
+    /// Ends that are still to be taken back; until then nothing is written.
+    uncut: Vec<Uncut>,
     clock: Clock,
     stats: Stats,
 }
@@ -217,7 +227,7 @@
             fills: BTreeSet::new(),
             owed: Vec::new(),
             victim: None,
-            closed: None,
+            uncut: Vec::new(),
             clock: Clock::default(),
             stats: Stats::default(),
         };
--- a/crates/store/src/store/write.rs
+++ b/crates/store/src/store/write.rs
@@ -14,9 +14,7 @@
     }
 
     pub(super) fn write(&self, inner: &mut Inner, kind: Kind, payload: &[u8]) -> Result<Place, StoreError> {
-        if let Some(why) = &inner.closed {
-            return Err(StoreError::Closed(why.clone()));
-        }
+        self.cut_ends(inner)?;
         let need = (HEAD + payload.len()) as u32;
         let full = |s: &Segment| s.len + need > self.0.options.segment && s.len > SEGMENT_HEAD as u32;
         if inner.active.and_then(|n| inner.segments.get(&n)).is_some_and(full) {
@@ -42,8 +40,9 @@
         let offset = segment.len;
         if let Err(e) = segment.file.write_at(u64::from(offset), &bytes) {
             // What was written of it must not stand before what comes next.
-            if let Err(e) = segment.file.truncate(u64::from(offset)) {
-                inner.closed = Some(format!("a failed write cannot be taken back: {e}"));
+            if let Err(again) = segment.file.truncate(u64::from(offset)) {
+                tracing::error!(segment = number, error = %again, "store: a failed write cannot be taken back yet");
+                inner.uncut.push(Uncut { segment: number, at: offset, records: None });
             }
             return Err(e.into());
         }
@@ -109,7 +108,7 @@
         let lost: Vec<(u32, Word)> = lost;
         inner.owed.extend(lost.into_iter().map(|(_, word)| word));
         let Some(segment) = inner.segments.get_mut(&number) else { return };
-        let truncated = segment.file.truncate(u64::from(good));
+        let truncated = segment.file.truncate(u64::from(good)).is_ok();
         tracing::error!(
             segment = number,
             from = good,
@@ -133,13 +132,31 @@
                 inner.record_ends.iter().rev().find(|(end, _)| *end <= good).map_or(0, |(_, at)| *at);
             let records = inner.records[..kept].to_vec();
             inner.active = None;
-            match truncated {
-                Ok(()) => self.sum_up(number, good, &records),
-                Err(e) => inner.closed = Some(format!("a failed sync cannot be taken back: {e}")),
+            if truncated {
+                return self.sum_up(number, good, &records);
             }
+            inner.uncut.push(Uncut { segment: number, at: good, records: Some(records) });
+        } else if !truncated {
+            inner.uncut.push(Uncut { segment: number, at: good, records: None });
         }
     }
 
+    /// Takes back what could not be taken back so far: what was written of it must not stand before what comes next.
+    fn cut_ends(&self, inner: &mut Inner) -> Result<(), StoreError> {
+        while let Some(Uncut { segment: number, at, records }) = inner.uncut.pop() {
+            // Cleaned meanwhile: its file is gone with its end.
+            let Some(segment) = inner.segments.get(&number) else { continue };
+            if let Err(e) = segment.file.truncate(u64::from(at)) {
+                inner.uncut.push(Uncut { segment: number, at, records });
+                return Err(StoreError::Closed(format!("a failed write cannot be taken back yet: {e}")));
+            }
+            if let Some(records) = records {
+                self.sum_up(number, at, &records);
+            }
+        }
+        Ok(())
+    }
+
     pub(super) fn sync_upto(&self, number: u32, upto: u32) -> Result<(), StoreError> {
         let _one = lock(&self.0.syncing);
         let (file, len) = {
