Failing tests: local shortages, interrupted and short calls, time in the system's buffers

Passing at once: ten configurations in a row with SIGTERM among them, a new host at the address of one that has gone, requests with 1 to 40 ms left, twenty minutes that pass at once.

--- a/crates/cli/tests/platform/endings.rs
+++ b/crates/cli/tests/platform/endings.rs
@@ -435,3 +435,66 @@
     };
     tokio::time::timeout(PATIENCE, quiet).await.expect("all that began is given up");
 }
+
+/// Ten new configurations in a row, each with another board, one of them half written and one dead, and SIGTERM among them: the
+/// last one is followed, what is open is answered, and the end is a good one.
+#[tokio::test]
+async fn ten_new_configurations_in_a_row_and_sigterm_within_them() {
+    let (first, cache) = (board().await, held().await);
+    let hosts = [listed("s-1", cache.at, "box", "Ready")];
+    let dispatcher = Dispatcher::start(first.at, &hosts).await;
+    let mut client = Client::connect(dispatcher.at).await;
+    client.ask(1, "/ops/page", &[], b"").await;
+    let (pull, mut peer) = cache.pull(&mut Vec::new()).await;
+    let dead = (own_ip(), 9).into();
+    let mut boards = Vec::new();
+    for n in 0..10 {
+        let next = board().await;
+        let at = if n == 6 { dead } else { next.at };
+        let whole = config(dispatcher.at, at, &hosts);
+        let part = if n == 4 { whole.len() / 2 } else { whole.len() };
+        std::fs::write(&dispatcher.config, &whole[..part]).unwrap();
+        dispatcher.signal("-HUP");
+        if n == 8 {
+            dispatcher.signal("-TERM");
+        }
+        boards.push(next);
+    }
+    let mut last = boards.pop().unwrap();
+    let (known, say) = last.poll().await;
+    assert_eq!(known, 1);
+    say.send(event(2, "\"flush\":{\"asset\":\"00000000000000aa\",\"ms\":1}")).unwrap();
+    drop(say);
+    assert_eq!(last.poll().await.0, 2, "what it tells is taken");
+    peer.say(&served(id_of(&pull), "good")).await;
+    assert_eq!(client.answer(1).await.body, b"good");
+    assert!(client.end(2).await.is_none());
+    assert_eq!(dispatcher.exit().await, 0);
+}
+
+/// A new host stands at the address of one that has gone, while an answer of the old one is still on its way: each answer is its
+/// own request's.
+#[tokio::test]
+async fn a_new_host_at_the_address_of_one_that_has_gone_takes_no_answer_of_it() {
+    let (mut board, cache) = (board().await, held().await);
+    let hosts = [listed("s-1", cache.at, "box", "Ready")];
+    let dispatcher = Dispatcher::start(board.at, &hosts).await;
+    let (_, say) = board.poll().await;
+    let mut client = Client::connect(dispatcher.at).await;
+    client.ask(1, "/ops/page", &[TXN], b"").await;
+    let mut others = Vec::new();
+    let (_, mut old) = cache.pull(&mut others).await;
+    let from = old.socket.get_ref().peer_addr().unwrap();
+    let change =
+        [listed("s-1", cache.at, "box", "Gone"), listed("s-9", cache.at, "box", "Ready")].join(",");
+    say.send(event(2, &format!("\"pool\":{{\"seq\":2,\"whole\":false,\"hosts\":[{change}]}}"))).unwrap();
+    drop(say);
+    assert_eq!(board.poll().await.0, 2);
+    client.ask(2, "/ops/page", &[("HTTP_X_ROW", "00000000000000bb")], b"").await;
+    let (pull, mut new) = cache.pull(&mut others).await;
+    assert_ne!(new.socket.get_ref().peer_addr().unwrap(), from, "its own connection: {pull}");
+    old.say(&served(TXN.1, "old")).await;
+    new.say(&served(id_of(&pull), "new")).await;
+    assert_eq!(client.answer(1).await.body, b"old");
+    assert_eq!(client.answer(2).await.body, b"new");
+}
--- a/crates/cli/tests/platform/faults.c
+++ b/crates/cli/tests/platform/faults.c
@@ -1,4 +1,4 @@
-/* Loaded into one dispatcher by LD_PRELOAD: steps its wall clock and lets system calls fail, as the control file says.
+/* Loaded into one dispatcher by LD_PRELOAD: steps its clocks and lets system calls fail, as the control file says.
  * The file holds 64-bit numbers, in the order of `struct control`; faults.rs writes them while the process runs. */
 #define _GNU_SOURCE
 #include <errno.h>
@@ -23,6 +23,7 @@
     _Atomic int64_t wall_offset_ns;
     _Atomic int64_t short_io; /* bytes that a read or write takes at most; 0: as asked */
     struct fault accept, connect, socket, read, write, wait;
+    _Atomic int64_t elapsed_ns; /* time that has passed besides, by the monotonic clock and by the wall clock */
 };
 
 static struct control nothing;
@@ -55,8 +56,9 @@
 
 int clock_gettime(clockid_t id, struct timespec *at) {
     int done = (int)syscall(SYS_clock_gettime, id, at);
-    int64_t offset = atomic_load(&control->wall_offset_ns);
-    if (done == 0 && offset && (id == CLOCK_REALTIME || id == CLOCK_REALTIME_COARSE)) {
+    int64_t offset = atomic_load(&control->elapsed_ns);
+    if (id == CLOCK_REALTIME || id == CLOCK_REALTIME_COARSE) offset += atomic_load(&control->wall_offset_ns);
+    if (done == 0 && offset) {
         int64_t ns = at->tv_sec * 1000000000LL + at->tv_nsec + offset;
         at->tv_sec = ns / 1000000000LL;
         at->tv_nsec = ns % 1000000000LL;
--- a/crates/cli/tests/platform/faults.rs
+++ b/crates/cli/tests/platform/faults.rs
@@ -1,4 +1,4 @@
-//! System calls that fail and a wall clock that steps, in one dispatcher: a small library (`faults.c`) that is compiled here
+//! System calls that fail and clocks that step, in one dispatcher: a small library (`faults.c`) that is compiled here
 //! and loaded into the process.
 use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
@@ -9,7 +9,8 @@
 /// Numbers of the control file, by their place in `struct control`.
 const WALL_OFFSET_NS: u64 = 0;
 const SHORT_IO: u64 = 1;
-const NUMBERS: usize = 14;
+const ELAPSED_NS: u64 = 14;
+const NUMBERS: usize = 15;
 
 /// A system call that may fail.
 #[derive(Clone, Copy, Debug)]
@@ -85,6 +86,11 @@
         self.set(WALL_OFFSET_NS, (seconds * 1e9) as i64);
     }
 
+    /// So much time passes at once.
+    pub fn pass(&self, time: Duration) {
+        self.set(ELAPSED_NS, self.get(ELAPSED_NS) + time.as_nanos() as i64);
+    }
+
     /// No read or write takes more bytes than this.
     pub fn short_io(&self, bytes: i64) {
         self.set(SHORT_IO, bytes);
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod shutdown;
 mod stage;
 mod syscalls;
+mod time_left;
 mod unreadable;
 
 use bytes::BytesMut;
--- a/crates/cli/tests/platform/syscalls.rs
+++ b/crates/cli/tests/platform/syscalls.rs
@@ -82,3 +82,72 @@
         assert_eq!(dispatcher.exit().await, 0);
     }
 }
+
+/// The local machine's want of an address, a descriptor or memory, or a call that was interrupted, is no word about the host:
+/// each costs one request at most, and the host is not held off.
+#[tokio::test]
+async fn a_local_shortage_is_no_word_about_a_host() {
+    let connects = [errno::EADDRNOTAVAIL, errno::ENOBUFS, errno::ENETUNREACH, errno::EINTR];
+    let sockets = [errno::ENFILE, errno::ENOBUFS, errno::ENOMEM];
+    let connects = connects.map(|error| (Call::Connect, error));
+    for (call, error) in connects.into_iter().chain(sockets.map(|error| (Call::Socket, error))) {
+        let (board, cache) = (board().await, host(|id, _| served(id, "good")).await);
+        let hosts = [listed("s-1", cache.at, "box", "Ready")];
+        let faults = Faults::new();
+        let board_at = board.at;
+        let dispatcher = Dispatcher::spawn_faulty(&faults, |at| config(at, board_at, &hosts)).await;
+        let mut client = Client::connect(dispatcher.at).await;
+        client.ask(1, "/ops/page", &[], b"").await;
+        assert_eq!(client.answer(1).await.body, b"good");
+        // Longer than its connections are kept: the next request needs a new one.
+        faults.pass(Duration::from_secs(60));
+        faults.fail(call, error, 4);
+        let mut refused = 0;
+        for n in 0..20u16 {
+            client.ask(n + 1, "/ops/page", &[], b"").await;
+            let answer = match client.end(n + 1).await {
+                Some(answer) => answer,
+                None => {
+                    // It rested for too long by the clock that has jumped: closed, and asked again.
+                    client = Client::connect(dispatcher.at).await;
+                    client.ask(n + 1, "/ops/page", &[], b"").await;
+                    client.answer(n + 1).await
+                }
+            };
+            refused += u16::from(answer.status != 200);
+        }
+        println!("{call:?} {error}: {refused} of 20 refused");
+        assert!(refused <= 4, "{call:?} {error}: {refused} of 20 refused");
+    }
+}
+
+/// Calls that are interrupted, and reads and writes of a few bytes: every answer is whole.
+#[tokio::test]
+async fn interrupted_calls_and_short_reads_and_writes_cost_nothing() {
+    let body = "0123456789".repeat(300);
+    let (board, script) = (board().await, body.clone());
+    let cache = host(move |id, _| served(id, &script)).await;
+    let hosts = [listed("s-1", cache.at, "box", "Ready")];
+    let faults = Faults::new();
+    let board_at = board.at;
+    let dispatcher = Dispatcher::spawn_faulty(&faults, |at| config(at, board_at, &hosts)).await;
+    let mut client = Client::connect(dispatcher.at).await;
+    for (call, short) in [
+        (None, 7),
+        (Some(Call::Read), 0),
+        (Some(Call::Write), 0),
+        (Some(Call::Wait), 0),
+        (Some(Call::Read), 7),
+    ] {
+        faults.short_io(short);
+        for n in 1..=20 {
+            if let Some(call) = call {
+                faults.fail(call, errno::EINTR, 2);
+            }
+            client.ask(n, "/ops/page", &[("HTTP_X_ROW", &format!("{n:016x}"))], b"").await;
+            let answer = client.end(n).await;
+            let answer = answer.unwrap_or_else(|| panic!("{call:?}, {short} bytes: closed"));
+            assert_eq!((answer.status, answer.body.len()), (200, body.len()), "{call:?}, {short} bytes");
+        }
+    }
+}
