--- a/crates/cli/tests/platform/endings.rs
+++ b/crates/cli/tests/platform/endings.rs
@@ -498,3 +498,25 @@
     assert_eq!(client.answer(1).await.body, b"old");
     assert_eq!(client.answer(2).await.body, b"new");
 }
+
+/// A keyed request that may have run, with no connection for a second attempt until its key is forgotten: nothing goes out again.
+#[tokio::test]
+async fn a_keyed_request_does_not_begin_again_after_its_window() {
+    let (board, origin, parent) = (board().await, held().await, late().await);
+    let hosts = [listed("o-1", origin.at, "origin", "Ready"), listed("p-1", parent.at, "parent", "Ready")];
+    let dispatcher = Dispatcher::start_with(board.at, &hosts, &[PATIENT]).await;
+    let mut client = Client::connect(dispatcher.at).await;
+    let mut others = Vec::new();
+    client.ask(1, "/ops/submit", &[KEY, ("HTTP_X_TTL_MS", "5000")], b"x").await;
+    let (_, first) = origin.pull(&mut others).await;
+    let window = tokio::time::sleep(Duration::from_millis(2_000));
+    // It goes to the parent next, where no connection comes up.
+    drop((first, others));
+    window.await;
+    let parent = parent.release();
+    let mut peers = Vec::new();
+    tokio::select! {
+        answer = client.answer(1) => assert_eq!(answer.status, 503, "{answer:?}"),
+        (pull, _) = parent.pull(&mut peers) => panic!("after its window: {pull}"),
+    }
+}
