An attempt that had to wait begins within its key's window only

Seen: an attempt of a keyed request, ordered within its window of 2 s, waited for a late connection and went out after it. Cause: logic.rs may_resend is asked when an attempt is ordered; core begin, asked right before the first byte, looked at time, drains and purges alone. Ruled out: the margin of 200 ms, which covers the way and not the wait. Change: Router::may_begin asks the same question again at the first byte.

--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -446,8 +446,8 @@
     }
 
     /// Whether an attempt may begin, and on what terms. Asked right before its first byte, by whoever is about to write it:
-    /// since it was ordered its client may have left or been answered, its time be up, its member or the source of its fill
-    /// be drained or gone, or its object be purged. None: nothing of it goes out, and it ends as [`AttemptEnd::NotSent`].
+    /// since it was ordered its client may have left or been answered, its time or the window of its key be over, its member or
+    /// the source of its fill be drained or gone, or its object be purged. None: nothing of it goes out, and it ends as [`AttemptEnd::NotSent`].
     ///
     /// Owed after a yes: the attempt's end. After a no: that end, where the request is still open.
     pub fn begin(&mut self, now: Micros, request: u64, attempt: u32) -> Option<Begin> {
@@ -471,7 +471,10 @@
         let Some(open) = self.open.get(&request).filter(|o| !o.done) else { return false };
         let Some(ordered) = open.out.as_ref().filter(|a| a.number == attempt) else { return false };
         let ready = |id| self.list.is_ready(id);
-        now < ordered.due && ready(ordered.member) && ordered.source.is_none_or(ready)
+        self.router.may_begin(now, RequestId(request))
+            && now < ordered.due
+            && ready(ordered.member)
+            && ordered.source.is_none_or(ready)
     }
 
     /// A purge was told: what has been ordered and not begun asks for no copy from before it.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -420,6 +420,11 @@
         }
     }
 
+    /// Whether an attempt of a request may still begin, where it had to wait since it was ordered. Rule: no effect twice.
+    pub fn may_begin(&self, now: Micros, id: RequestId) -> bool {
+        self.open.get(&id).is_some_and(|o| !o.done && self.may_resend(now, o))
+    }
+
     /// Rule: no effect twice. After an attempt that may have run, only safe classes go on freely.
     fn may_resend(&self, now: Micros, o: &Open) -> bool {
         match (o.ran, self.set.classes[o.req.class].repeat) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -339,3 +339,18 @@
         "{plain} sends to a cold cache, {mixed} after quick untold answers"
     );
 }
+
+/// The resend is ordered within the window and has to wait: it may not begin once the window is over.
+#[test]
+fn a_resend_that_waits_may_begin_within_the_window_only() {
+    let mut s = Stage::new();
+    let first = s.ask(KEYED, "a").remove(0);
+    s.now += 500 * MS;
+    let again = s.end(&first, Status::Reset, Note::Untold).remove(0);
+    // Half a second of the two has gone by; the last stretch is for the way there.
+    assert!(s.router.may_begin(s.now, again.request));
+    assert!(s.router.may_begin(s.now + 1_200 * MS, again.request));
+    assert!(!s.router.may_begin(s.now + 1_490 * MS, again.request));
+    let free = s.ask(VIDEO, "b").remove(0);
+    assert!(s.router.may_begin(s.now + 1_990 * MS, free.request), "safe classes have no window");
+}
