--- a/crates/cli/tests/platform/endings.rs
+++ b/crates/cli/tests/platform/endings.rs
@@ -308,6 +308,32 @@
     drop((first, second));
 }
 
+/// A crowded board begins each answer after two seconds: it is heard all the same.
+#[tokio::test]
+async fn a_board_that_is_slow_to_answer_is_heard() {
+    let (mut slow, cache) = (slow_board(Duration::from_secs(2)).await, held().await);
+    let hosts = [listed("s-1", cache.at, "box", "Ready")];
+    let dispatcher = Dispatcher::start(slow.at, &hosts).await;
+    let other = host(|id, _| served(id, "other")).await;
+    let change =
+        [listed("s-1", cache.at, "box", "Terminating"), listed("s-2", other.at, "box", "Ready")].join(",");
+    let change = event(2, &format!("\"pool\":{{\"seq\":2,\"whole\":false,\"hosts\":[{change}]}}"));
+    // Each answer tells it, whether it is still wanted or not; once it is taken the board is asked from its number on.
+    let heard = async {
+        loop {
+            let (last, say) = slow.poll().await;
+            if last == 2 {
+                return;
+            }
+            let _ = say.send(change.clone());
+        }
+    };
+    tokio::time::timeout(PATIENCE, heard).await.expect("heard in the end");
+    let mut client = Client::connect(dispatcher.at).await;
+    client.ask(1, "/ops/page", &[], b"").await;
+    assert_eq!(client.answer(1).await.body, b"other");
+}
+
 /// Good requests on a connection that is closed for what else came on it, or with one that is never whole: answered first.
 #[tokio::test]
 async fn good_requests_are_answered_before_their_connection_is_closed() {
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod growth;
 mod shutdown;
+mod soak;
 mod stage;
 mod syscalls;
 mod time_left;
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -225,6 +225,11 @@
 }
 
 pub async fn board() -> Board {
+    slow_board(Duration::ZERO).await
+}
+
+/// ... that begins each of its answers so late.
+pub async fn slow_board(late: Duration) -> Board {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (tell, polls) = mpsc::unbounded_channel();
     let at = listener.local_addr().unwrap();
@@ -239,6 +244,7 @@
                 let head = String::from_utf8(head).unwrap().to_lowercase();
                 let last = head.lines().find_map(|l| l.strip_prefix("last-event-id: ")).unwrap();
                 let (say, mut said) = mpsc::unbounded_channel();
+                tokio::time::sleep(late).await;
                 let _ = tell.send((last.parse().unwrap(), say));
                 let _ = socket
                     .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n")
@@ -276,6 +282,11 @@
     )
 }
 
+/// An address and port that nobody else in this run uses.
+pub async fn free_address() -> SocketAddr {
+    TcpListener::bind((own_ip(), 0)).await.unwrap().local_addr().unwrap()
+}
+
 /// A dispatcher's process; killed when the test ends.
 pub struct Dispatcher {
     child: Child,
@@ -329,22 +340,31 @@
         descriptors: Option<u64>,
         config: impl FnOnce(SocketAddr) -> String,
     ) -> Self {
-        Self::spawn_in(descriptors, None, config).await
+        Self::spawn_in(None, descriptors, None, config).await
+    }
+
+    /// ... at an address that an earlier one had.
+    pub async fn spawn_at(at: SocketAddr, faults: &Faults, config: String) -> Self {
+        Self::spawn_in(Some(at), None, Some(faults), |_| config).await
     }
 
     /// ... with system calls that may fail, and a wall clock that may be stepped.
     pub async fn spawn_faulty(faults: &Faults, config: impl FnOnce(SocketAddr) -> String) -> Self {
-        Self::spawn_in(None, Some(faults), config).await
+        Self::spawn_in(None, None, Some(faults), config).await
     }
 
     async fn spawn_in(
+        at: Option<SocketAddr>,
         descriptors: Option<u64>,
         faults: Option<&Faults>,
         config: impl FnOnce(SocketAddr) -> String,
     ) -> Self {
         let bound = descriptors.map_or(String::new(), |most| format!("ulimit -n {most} && "));
         // On an address of its own the port that the system names is nobody else's, whatever is connected and closed meanwhile.
-        let at = TcpListener::bind((own_ip(), 0)).await.unwrap().local_addr().unwrap();
+        let at = match at {
+            Some(at) => at,
+            None => free_address().await,
+        };
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("config.json");
         std::fs::write(&file, config(at)).unwrap();
@@ -416,6 +436,11 @@
         spent.split(' ').next().unwrap().parse::<u64>().unwrap() / 1_000
     }
 
+    /// How it has ended, if it has.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().unwrap().map(|status| status.code().unwrap_or(-1))
+    }
+
     pub fn runs(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
--- a/crates/link/src/steady.rs
+++ b/crates/link/src/steady.rs
@@ -8,13 +8,11 @@
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::Instant;
 
 /// The reading half.
 #[derive(Debug)]
 pub struct SteadyRead {
     half: OwnedReadHalf,
-    empty_at: Instant,
 }
 
 /// The writing half; the direction is shut down when it is dropped.
@@ -29,31 +27,19 @@
 }
 
 impl SteadyRead {
-    /// `empty_at`: a moment at which nothing that comes now can have been sent on this connection yet.
-    pub fn new(half: OwnedReadHalf, empty_at: Instant) -> Self {
-        Self { half, empty_at }
-    }
-
-    /// When the connection was last found to hold nothing unread.
-    pub fn empty_at(&self) -> Instant {
-        self.empty_at
+    pub fn new(half: OwnedReadHalf) -> Self {
+        Self { half }
     }
 }
 
 impl AsyncRead for SteadyRead {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         loop {
-            if self.half.as_ref().poll_read_ready(context)?.is_pending() {
-                // Also pending where this task has had its turn: then nothing is known of the socket.
-                if tokio::task::coop::has_budget_remaining() {
-                    self.empty_at = Instant::now();
-                }
-                return Poll::Pending;
-            }
+            ready!(self.half.as_ref().poll_read_ready(context))?;
             match self.half.try_read(buffer.initialize_unfilled()) {
                 Ok(read) => {
                     buffer.advance(read);
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -225,7 +225,7 @@
     let socket = tokio::time::timeout(CONNECT, TcpStream::connect(address));
     let socket = socket.await.map_err(in_time("connecting"))?.map_err(|e| text(&e))?;
     let (read, write) = socket.into_split();
-    let steady = tokio::io::join(SteadyRead::new(read, Instant::now()), SteadyWrite::new(write));
+    let steady = tokio::io::join(SteadyRead::new(read), SteadyWrite::new(write));
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(steady)).await.map_err(|e| text(&e))?;
     let connection = AbortOnDrop(tokio::spawn(async move {
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -357,7 +357,7 @@
         let (read, write) = socket.into_split();
         let codec =
             Watched { codec: AnswerCodec::default(), of: self.clone(), held: Held { meter, bytes: 0 } };
-        let read = SteadyRead::new(read, Instant::now());
+        let read = SteadyRead::new(read);
         let mut answers = FramedRead::with_capacity(read, codec, READ_BUFFER);
         let mut looked = false;
         let why = loop {
--- a/crates/platform/src/front/mod.rs
+++ b/crates/platform/src/front/mod.rs
@@ -10,15 +10,12 @@
 use pointspindle_edge::net::QUEUE_FAILURES;
 use pointspindle_link::{Line, Listener};
 use std::collections::HashSet;
-use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 /// What was on its way when a connection was closed has come by then, or is sent again: the platform's own figure.
 const CROSSING: Duration = Duration::from_millis(50);
@@ -54,50 +51,35 @@
         *self.phase.borrow()
     }
 
-    /// Serves a new connection, which was not there at `empty_at`. Without a place for it, it is closed without a word:
-    /// descriptors are what runs out.
-    fn take_in(&self, sessions: &mut JoinSet<()>, line: Line, peer: SocketAddr, empty_at: Instant) {
+    /// Serves a new connection. Without a place for it, it is closed without a word: descriptors are what runs out.
+    fn take_in(&self, sessions: &mut JoinSet<()>, line: Line, peer: SocketAddr) {
         let Line::Tcp(socket) = line else { return };
         if let Ok(seat) = self.keeper.arrive(peer.ip()) {
-            sessions.spawn(serve(self.clone(), socket, seat, empty_at));
+            sessions.spawn(serve(self.clone(), socket, seat));
         }
     }
 }
 
-async fn serve(front: Front, socket: TcpStream, seat: Seat, empty_at: Instant) {
+async fn serve(front: Front, socket: TcpStream, seat: Seat) {
     let _ = socket.set_nodelay(true);
-    session::run(front, socket, &seat, empty_at).await;
-}
-
-/// The next connection; notes when the queue was found empty.
-async fn next(listener: &mut Listener, empty_at: &mut Instant) -> std::io::Result<(Line, SocketAddr)> {
-    let mut accepted = pin!(listener.accept());
-    poll_fn(|context| {
-        let polled = accepted.as_mut().poll(context);
-        if polled.is_pending() && tokio::task::coop::has_budget_remaining() {
-            *empty_at = Instant::now();
-        }
-        polled
-    })
-    .await
+    session::run(front, socket, &seat).await;
 }
 
 /// Accepts until the listener is to close, or until the dispatcher stops and no connection has been left for a while; returns
 /// when the last connection is over.
 pub async fn accept(mut listener: Listener, front: Front, mut close: watch::Receiver<bool>) {
     let mut sessions = JoinSet::new();
-    let mut empty_at = Instant::now();
     loop {
         let deserted = sessions.is_empty() && front.phase() > Phase::Serving;
         let accepted = tokio::select! {
-            accepted = next(&mut listener, &mut empty_at) => accepted,
+            accepted = listener.accept() => accepted,
             _ = sessions.join_next(), if !sessions.is_empty() => continue,
             _ = close.wait_for(|close| *close) => break,
             // A request that crossed the last close is sent again here.
             () = tokio::time::sleep(CROSSING), if deserted => break,
         };
         match accepted {
-            Ok((line, peer)) => front.take_in(&mut sessions, line, peer, empty_at),
+            Ok((line, peer)) => front.take_in(&mut sessions, line, peer),
             Err(e) => front.keeper.accept_failed(e).await,
         }
     }
@@ -105,7 +87,7 @@
     let mut failures = 0;
     while let Some(accepted) = listener.waiting().await {
         match accepted {
-            Ok((line, peer)) => front.take_in(&mut sessions, line, peer, empty_at),
+            Ok((line, peer)) => front.take_in(&mut sessions, line, peer),
             Err(_) if failures == QUEUE_FAILURES => break,
             Err(e) => {
                 failures += 1;
--- a/crates/platform/src/front/session.rs
+++ b/crates/platform/src/front/session.rs
@@ -68,10 +68,10 @@
     }
 }
 
-/// Serves a connection to its end. `empty_at`: when it was not there yet.
-pub(super) async fn run(front: Front, socket: TcpStream, seat: &Seat, empty_at: Instant) {
+/// Serves a connection to its end.
+pub(super) async fn run(front: Front, socket: TcpStream, seat: &Seat) {
     let (read, write) = socket.into_split();
-    let (read, write) = (SteadyRead::new(read, empty_at), SteadyWrite::new(write));
+    let (read, write) = (SteadyRead::new(read), SteadyWrite::new(write));
     let shared = Arc::new(Shared::default());
     let (replies, outgoing) = ReplySender::new();
     let mut writer = tokio::spawn(write_out(write, outgoing, shared.clone(), replies.counter()));
@@ -233,7 +233,7 @@
                 Seen::Unreadable(error) => self.skip_the_rest(&error),
                 Seen::Record(record) => {
                     seat.busy();
-                    let waited = self.front.stalls.waited(Instant::now(), records.get_ref().empty_at());
+                    let waited = self.front.stalls.waited(Instant::now());
                     let told = self.shared.requests().take(record);
                     match told {
                         Ok(told) => self.take(told, waited),
--- a/crates/platform/src/stalls.rs
+++ b/crates/platform/src/stalls.rs
@@ -16,8 +16,8 @@
 #[derive(Debug)]
 struct Beats {
     last: Instant,
-    /// The newest stall: it began after the first and ended before the second moment.
-    stall: Option<(Instant, Instant)>,
+    /// The newest stall: it began after this.
+    stall: Option<Instant>,
 }
 
 /// See the module's documentation.
@@ -38,7 +38,7 @@
         let mut beats = self.lock();
         let late = now > beats.last + BEAT + LATE;
         if late {
-            beats.stall = Some((beats.last, now));
+            beats.stall = Some(beats.last);
         }
         beats.last = now;
         late
@@ -49,15 +49,15 @@
         self.lock().stall = None;
     }
 
-    /// The longest that something read now may have waited unread, on a connection that held nothing at `empty_at`; zero where
-    /// the process has run since.
-    pub fn waited(&self, now: Instant, empty_at: Instant) -> Duration {
+    /// The longest that something read now may have waited unread; zero where the process has run.
+    ///
+    /// All that is read in the first rounds after a stall counts as having waited through it. When a connection was last found
+    /// empty would not tell: a task that goes on after the stall finds it so until the runtime has looked at its sockets.
+    pub fn waited(&self, now: Instant) -> Duration {
         let beats = self.lock();
         // The beat that is due may only come after what is read now.
         let under_way = (now > beats.last + BEAT + LATE).then_some(beats.last);
-        let over = beats.stall.filter(|(_, end)| *end > empty_at).map(|(begin, _)| begin);
-        let since = over.or(under_way);
-        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since.max(empty_at)))
+        beats.stall.or(under_way).map_or(Duration::ZERO, |begin| now.saturating_duration_since(begin))
     }
 }
 
