A slow notice board is heard: earlier questions stay open beside the next

Cause: board.rs read_once gave a board that had not begun its answer up after 0.7 s and asked again, for ever; one that needs longer (slow or crowded discovery) was never heard, so that drains and purges were not. Change: up to four questions wait at once, a new one each 0.7 s, for 8 s at most; the first that is answered is read.

--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -19,14 +19,18 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::codec::Decoder;
 
 /// A comment comes each second: silent for longer, a stream is of no more use.
 const SILENT: Duration = Duration::from_millis(1_600);
-/// A board that takes no connection, or does not begin to answer. From the last sign of a stream that falls silent, a board
-/// that takes no connection once and begins no answer once is left behind before four seconds are over.
-const CONNECT: Duration = Duration::from_millis(700);
+/// A board that has not begun its answer by then is asked once more beside: from the last sign of a stream that falls silent, two
+/// questions that are never answered are left behind before four seconds are over.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// Questions that wait for an answer at once, and for how long: a slow or crowded board is heard within that.
+const QUESTIONS_MOST: usize = 4;
+const QUESTION_LONGEST: Duration = Duration::from_secs(8);
 /// Asked again after this at first, then twice as long each time, and up to twice as long by the dice.
 const AGAIN: Duration = Duration::from_millis(10);
 const AGAIN_MOST: Duration = Duration::from_millis(400);
@@ -200,10 +204,13 @@
 async fn read_on(taken: Arc<Mutex<Taken>>, address: String, spoken: watch::Sender<bool>) {
     let mut pause = AGAIN;
     loop {
-        let began = tokio::time::Instant::now();
-        match read_once(&taken, &address, &spoken).await {
-            Ok(()) => {}
-            Err(why) => tracing::info!(board = address, why, "the notice board's stream ended"),
+        let began = Instant::now();
+        let read = match first_answer(&taken, &address).await {
+            Ok(stream) => read_stream(&taken, stream, &spoken).await,
+            Err(why) => Err(why),
+        };
+        if let Err(why) = read {
+            tracing::info!(board = address, why, "the notice board's stream ended");
         }
         // One that went on for a while is asked again at once.
         if began.elapsed() > AGAIN_MOST {
@@ -215,15 +222,43 @@
     }
 }
 
-async fn read_once(
-    taken: &Arc<Mutex<Taken>>,
-    address: &str,
-    spoken: &watch::Sender<bool>,
-) -> Result<(), String> {
-    let in_time = |what| move |_| format!("{what}: not in time");
+/// The first stream that begins. A board that has not begun its answer in time is asked once more beside the earlier question: it
+/// may be gone, or only slow.
+async fn first_answer(taken: &Arc<Mutex<Taken>>, address: &str) -> Result<Stream, String> {
+    let mut asked = JoinSet::new();
+    let mut first_why = None;
+    let deadline = Instant::now() + QUESTION_LONGEST;
+    loop {
+        if asked.len() < QUESTIONS_MOST {
+            let last = lock(taken).last();
+            asked.spawn(ask(address.to_owned(), last));
+        }
+        tokio::select! {
+            Some(answered) = asked.join_next() => match answered {
+                Ok(Ok(stream)) => return Ok(stream),
+                Ok(Err(why)) => first_why = Some(why),
+                Err(e) => first_why = Some(e.to_string()),
+            },
+            () = tokio::time::sleep(PATIENCE) => continue,
+            () = tokio::time::sleep_until(deadline) => return Err("an answer: not in time".to_owned()),
+        }
+        // Said no, or broke off: with nothing else asked that is told, else the others are waited for.
+        if asked.is_empty() {
+            return Err(first_why.unwrap_or_default());
+        }
+    }
+}
+
+/// A stream of events that has begun.
+struct Stream {
+    body: hyper::body::Incoming,
+    /// Serves it.
+    _connection: AbortOnDrop,
+}
+
+async fn ask(address: String, last: u64) -> Result<Stream, String> {
     let text = |e: &dyn std::fmt::Display| e.to_string();
-    let socket = tokio::time::timeout(CONNECT, TcpStream::connect(address));
-    let socket = socket.await.map_err(in_time("connecting"))?.map_err(|e| text(&e))?;
+    let socket = TcpStream::connect(&address).await.map_err(|e| text(&e))?;
     let (read, write) = socket.into_split();
     let steady = tokio::io::join(SteadyRead::new(read), SteadyWrite::new(write));
     let (mut sender, connection) =
@@ -231,24 +266,32 @@
     let connection = AbortOnDrop(tokio::spawn(async move {
         let _ = connection.await;
     }));
-    let last = lock(taken).last();
     let request = hyper::Request::get("/board/poll")
         .header("host", address)
         .header("accept", "text/event-stream")
         .header("last-event-id", last.to_string())
         .body(Empty::<Bytes>::new())
         .map_err(|e| text(&e))?;
-    let answer = tokio::time::timeout(CONNECT, sender.send_request(request));
-    let answer = answer.await.map_err(in_time("an answer"))?.map_err(|e| text(&e))?;
+    let answer = sender.send_request(request).await.map_err(|e| text(&e))?;
     if !answer.status().is_success() {
         return Err(format!("status {}", answer.status()));
     }
-    let mut body = answer.into_body();
+    Ok(Stream { body: answer.into_body(), _connection: connection })
+}
+
+/// Takes what a stream tells until it ends, breaks or falls silent.
+async fn read_stream(
+    taken: &Arc<Mutex<Taken>>,
+    mut stream: Stream,
+    spoken: &watch::Sender<bool>,
+) -> Result<(), String> {
+    let text = |e: &dyn std::fmt::Display| e.to_string();
     let (mut codec, mut buffer) = (SseCodec::default(), BytesMut::new());
     loop {
         let waiting = Instant::now();
-        let frame = tokio::time::timeout(SILENT, body.frame());
-        let Some(frame) = frame.await.map_err(in_time("a sign of life"))? else { break };
+        let frame = tokio::time::timeout(SILENT, stream.body.frame()).await;
+        let frame = frame.map_err(|_| "a sign of life: not in time".to_owned())?;
+        let Some(frame) = frame else { return Ok(()) };
         let Ok(data) = frame.map_err(|e| text(&e))?.into_data() else { continue };
         buffer.extend_from_slice(&data);
         while let Some(piece) = codec.decode(&mut buffer).map_err(|e| text(&e))? {
@@ -262,8 +305,6 @@
         // What the next bytes tell came after these were waited for.
         lock(taken).read_all(waiting);
     }
-    drop(connection);
-    Ok(())
 }
 
 /// A connection's task ends with whoever asked over it.
