What came while the process did not run is read before a connection closes

Cause: front/session.rs closed as soon as its time to leave was over, without a look at the socket: what had come during a pause was not read. Ruled out: the kill, the listener's queue, a client that writes after the end. Change: a last look, after the runtime has looked at its sockets; 256 of them at most.

--- a/crates/platform/src/front/session.rs
+++ b/crates/platform/src/front/session.rs
@@ -42,6 +42,8 @@
 /// Shortly before the process ends, what comes on a connection with nothing open is looked for only so long: also on a new one,
 /// on which a request is sent again that crossed a close.
 const LAST_LOOK: Duration = Duration::from_millis(20);
+/// Records that are still taken when a connection was to be closed already: whoever goes on sending does not keep it open.
+const LATE_MOST: usize = 256;
 const READ_BUFFER: usize = 1024;
 /// Bytes read at once of what is not looked at.
 const SKIP_BUFFER: usize = 16 * 1024;
@@ -86,6 +88,7 @@
         input: Input::Taken,
         finishing: false,
         leave_by: None,
+        late: 0,
     };
     let mut records = FramedRead::with_capacity(read, RecordCodec, READ_BUFFER);
     let end = session.read(&mut records, seat).await;
@@ -157,6 +160,8 @@
     finishing: bool,
     /// With nothing open it was to be closed for the first time: it is by then, whoever goes on sending.
     leave_by: Option<Instant>,
+    /// Looks at what had come by then.
+    late: usize,
 }
 
 impl Session {
@@ -191,24 +196,32 @@
             let leaving = nothing_owed && (self.finishing || self.front.phase() > Phase::Serving);
             // The rest of a request that has begun may still come.
             let closing = leaving && (halves == 0 || self.input != Input::Taken);
+            let mut last_look = false;
             if leaving {
                 let by = self.leave_by();
-                if closing && Instant::now() >= by {
+                last_look = closing && Instant::now() >= by;
+                leave.as_mut().reset(by);
+            }
+            if last_look {
+                self.late += 1;
+                if self.late > LATE_MOST {
                     return End::Closed;
                 }
-                leave.as_mut().reset(by);
+                // The runtime looks at its sockets first: what had come by now, also while the process did not run, is seen.
+                tokio::task::yield_now().await;
             }
             let seen = tokio::select! {
                 // First: a request that has come is answered, though its connection is to make room.
                 biased;
                 seen = next(records, self.input) => seen,
+                () = std::future::ready(()), if last_look => return End::Closed,
                 _ = self.shared.answered.notified() => {
                     if self.shared.requests().open() == 0 {
                         seat.idle();
                     }
                     continue;
                 }
-                _ = &mut leave, if closing => return End::Closed,
+                _ = &mut leave, if closing => continue,
                 _ = seat.told_to_close(), if open == 0 && !leaving => {
                     // What came in this very moment is answered first.
                     (self.finishing, self.whole) = (true, self.whole.max(1));
