--- a/crates/cli/tests/platform/endings.rs
+++ b/crates/cli/tests/platform/endings.rs
@@ -232,12 +232,7 @@
     assert_eq!(idle.answer(1).await.status, 200);
     dispatcher.signal("-TERM");
     dispatcher.signal("-STOP");
-    let mut queued = Vec::new();
-    for _ in 0..12 {
-        let mut client = Client::connect(dispatcher.at).await;
-        client.ask(1, "/ops/page", &[], b"").await;
-        queued.push(client);
-    }
+    let mut queued = dispatcher.queue(12).await;
     idle.ask(2, "/ops/page", &[], b"").await;
     // Longer than the time for which it serves on: it finds all of this, and that time over, in one moment.
     tokio::time::sleep(Duration::from_millis(1_300)).await;
--- a/crates/cli/tests/platform/soak/judge.rs
+++ b/crates/cli/tests/platform/soak/judge.rs
@@ -157,10 +157,10 @@
     fn told(&mut self, txn: &str, asked: &Asked, pull: &Pull) {
         for (at, told) in &self.book.told {
             match told {
-                Told::Drained { host } if *host == pull.host => {
-                    if pull.at > self.in_force(*at, DRAIN_GRACE) {
-                        self.find(Clause::Drains, txn, format!("sent to host {host}, which drains"));
-                    }
+                Told::Drained { host }
+                    if *host == pull.host && pull.at > self.in_force(*at, DRAIN_GRACE) =>
+                {
+                    self.find(Clause::Drains, txn, format!("sent to host {host}, which drains"));
                 }
                 Told::Purged { object, at: purged } if *object == asked.object => {
                     let matters = asked.class == Class::Page && pull.at < *purged + PURGE_DONE;
--- a/crates/cli/tests/platform/stage.rs
+++ b/crates/cli/tests/platform/stage.rs
@@ -405,6 +405,17 @@
         client.answer(1).await.status
     }
 
+    /// New connections, each with a request on it.
+    pub async fn queue(&self, clients: usize) -> Vec<Client> {
+        let mut queued = Vec::new();
+        for _ in 0..clients {
+            let mut client = Client::connect(self.at).await;
+            client.ask(1, "/ops/page", &[], b"").await;
+            queued.push(client);
+        }
+        queued
+    }
+
     pub fn signal(&self, name: &str) {
         let told = Command::new("kill").arg(name).arg(self.child.id().to_string()).status().unwrap();
         assert!(told.success());
--- a/crates/cli/tests/platform/syscalls.rs
+++ b/crates/cli/tests/platform/syscalls.rs
@@ -63,12 +63,7 @@
         let (faults, _board, _cache, dispatcher) = faulty().await;
         dispatcher.signal("-TERM");
         dispatcher.signal("-STOP");
-        let mut queued = Vec::new();
-        for _ in 0..12 {
-            let mut client = Client::connect(dispatcher.at).await;
-            client.ask(1, "/ops/page", &[], b"").await;
-            queued.push(client);
-        }
+        let mut queued = dispatcher.queue(12).await;
         // Longer than it serves on: it finds all of this, and that time over, in one moment.
         tokio::time::sleep(Duration::from_millis(1_300)).await;
         faults.fail(Call::Accept, error, 3);
--- a/crates/link/src/steady.rs
+++ b/crates/link/src/steady.rs
@@ -3,7 +3,8 @@
 //! tokio's own reads and writes wait for the next event of the socket once a call has moved fewer bytes than asked for, and
 //! hand an interrupted call on as an error. Here a short call is followed by another one, until the socket says that it has or
 //! takes nothing more, and an interrupted one is made again.
-use std::io::{ErrorKind, IoSlice, Result};
+use socket2::SockRef;
+use std::io::{ErrorKind, IoSlice, Read, Result};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -30,6 +31,24 @@
     pub fn new(half: OwnedReadHalf) -> Self {
         Self { half }
     }
+
+    /// Reads what is there in this moment, whatever the runtime knows of the socket; none: nothing is. Zero: the peer has closed.
+    pub fn read_now(&self, buffer: &mut [u8]) -> Result<Option<usize>> {
+        let socket = SockRef::from(self.half.as_ref());
+        loop {
+            match (&*socket).read(buffer) {
+                Ok(read) => return Ok(Some(read)),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Nothing more is written from here: the peer sees the end at once.
+    pub fn shut_down_writing(&self) -> Result<()> {
+        SockRef::from(self.half.as_ref()).shutdown(std::net::Shutdown::Write)
+    }
 }
 
 impl AsyncRead for SteadyRead {
--- a/crates/platform/src/board.rs
+++ b/crates/platform/src/board.rs
@@ -226,25 +226,26 @@
 /// may be gone, or only slow.
 async fn first_answer(taken: &Arc<Mutex<Taken>>, address: &str) -> Result<Stream, String> {
     let mut asked = JoinSet::new();
-    let mut first_why = None;
-    let deadline = Instant::now() + QUESTION_LONGEST;
+    let begun = Instant::now();
+    let mut ask_at = begun;
     loop {
-        if asked.len() < QUESTIONS_MOST {
+        if Instant::now() >= ask_at && asked.len() < QUESTIONS_MOST {
             let last = lock(taken).last();
             asked.spawn(ask(address.to_owned(), last));
+            ask_at = Instant::now() + PATIENCE;
         }
-        tokio::select! {
-            Some(answered) = asked.join_next() => match answered {
-                Ok(Ok(stream)) => return Ok(stream),
-                Ok(Err(why)) => first_why = Some(why),
-                Err(e) => first_why = Some(e.to_string()),
-            },
-            () = tokio::time::sleep(PATIENCE) => continue,
-            () = tokio::time::sleep_until(deadline) => return Err("an answer: not in time".to_owned()),
-        }
-        // Said no, or broke off: with nothing else asked that is told, else the others are waited for.
-        if asked.is_empty() {
-            return Err(first_why.unwrap_or_default());
+        let answered = tokio::select! {
+            Some(answered) = asked.join_next() => answered,
+            () = tokio::time::sleep_until(ask_at), if asked.len() < QUESTIONS_MOST => continue,
+            () = tokio::time::sleep_until(begun + QUESTION_LONGEST) => {
+                return Err("an answer: not in time".to_owned());
+            }
+        };
+        match answered.unwrap_or_else(|e| Err(e.to_string())) {
+            Ok(stream) => return Ok(stream),
+            // With nothing else asked that is told, else the others are waited for.
+            Err(why) if asked.is_empty() => return Err(why),
+            Err(why) => tracing::debug!(board = address, why, "one question is lost"),
         }
     }
 }
--- a/crates/platform/src/front/session.rs
+++ b/crates/platform/src/front/session.rs
@@ -29,7 +29,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use tokio_util::codec::FramedRead;
+use tokio_util::codec::{Decoder, FramedRead};
 use tokio_util::sync::CancellationToken;
 use tracing::Instrument;
 
@@ -214,7 +214,10 @@
                 // First: a request that has come is answered, though its connection is to make room.
                 biased;
                 seen = next(records, self.input) => seen,
-                () = std::future::ready(()), if last_look => return End::Closed,
+                () = std::future::ready(()), if last_look => match self.close(records) {
+                    Some(end) => return end,
+                    None => continue,
+                },
                 _ = self.shared.answered.notified() => {
                     if self.shared.requests().open() == 0 {
                         seat.idle();
@@ -260,6 +263,25 @@
         }
     }
 
+    /// Closes a connection on which nothing is owed, if nothing has come on it: looked for in the very moment before, since the
+    /// process may not have run for a while. None: something has.
+    fn close(&self, records: &mut Records) -> Option<End> {
+        let mut bytes = [0; READ_BUFFER];
+        match records.get_ref().read_now(&mut bytes) {
+            Ok(None) => {}
+            Ok(Some(0)) | Err(_) => return Some(End::Gone),
+            Ok(Some(read)) if self.input == Input::Taken => {
+                records.read_buffer_mut().extend_from_slice(&bytes[..read]);
+                return None;
+            }
+            Ok(Some(_)) => {}
+        }
+        if self.replies.unwritten() == 0 {
+            let _ = records.get_ref().shut_down_writing();
+        }
+        Some(End::Closed)
+    }
+
     /// When a connection with nothing open is closed: what was on its way when that was decided is answered first.
     fn leave_by(&mut self) -> Instant {
         let look = match self.front.phase() {
@@ -374,6 +396,12 @@
             Ok(0) | Err(_) => Seen::Gone,
         };
     }
+    // What stands in the buffer already: [`Session::close`] may have put it there.
+    match RecordCodec.decode(records.read_buffer_mut()) {
+        Ok(None) => {}
+        Ok(Some(record)) => return Seen::Record(record),
+        Err(error) => return Seen::Unreadable(error),
+    }
     match records.next().await {
         Some(Ok(record)) => Seen::Record(record),
         Some(Err(RecordError::Io(error))) => {
