Failing test: an attempt for who left while the process did not run

Traced: the process was paused, the time to try again was over as it went on, and the timer ran before the client's abort was read.

--- a/crates/cli/tests/platform/time_left.rs
+++ b/crates/cli/tests/platform/time_left.rs
@@ -2,6 +2,7 @@
 //! little.
 use crate::faults::Faults;
 use crate::stage::*;
+use pointspindle_platform_wire::fastcgi::{record, ABORT_REQUEST};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::Instant;
@@ -122,3 +123,33 @@
     }
     drop(first);
 }
+
+/// A client takes its request back while the process does not run, and the next attempt is due by then: it is not made.
+#[tokio::test]
+async fn who_left_while_the_process_did_not_run_is_not_sent_on() {
+    let full = |id: &str, _: &str| format!("{id} overload res=crowded 0\r\n\r\n").into_bytes();
+    let (board, mut origin) = (board().await, host(full).await);
+    let hosts = [listed("o-1", origin.at, "origin", "Ready")];
+    let dispatcher = Dispatcher::start(board.at, &hosts).await;
+    let mut client = Client::connect(dispatcher.at).await;
+    for round in 0..8u64 {
+        let txn = format!("9b1f03aa00ee{round:04x}");
+        let key = ("HTTP_X_TXN_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+        client.ask(1, "/ops/submit", &[("HTTP_X_TXN", &txn), key], b"x").await;
+        origin.next(&format!("PULL {txn}")).await;
+        // Refused for want of room: it is tried again a little later.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        dispatcher.signal("-STOP");
+        while origin.heard.try_recv().is_ok() {}
+        let mut abort = bytes::BytesMut::new();
+        record(&mut abort, ABORT_REQUEST, 1, &[]);
+        client.write.write_all(&abort).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        dispatcher.signal("-CONT");
+        assert_eq!(client.answer(1).await.status, 0, "round {round}: an end without an answer");
+        assert_eq!(dispatcher.alive().await, 200);
+        while let Ok((line, _)) = origin.heard.try_recv() {
+            assert!(!line.starts_with("PULL"), "round {round}: {line}");
+        }
+    }
+}
