Attempts wait until what came while the process did not run is read

Cause: a process that goes on after a pause runs the core's timers (and reads hosts' answers) before its clients' records, so that an attempt began 174 ms after its client had left; 0.1 s is allowed. Change: Lines::call waits for Stalls::settled, some rounds of the runtime, before it looks for a connection; the exchange sees the leaving first.

--- a/crates/platform/src/life.rs
+++ b/crates/platform/src/life.rs
@@ -60,9 +60,10 @@
         None => shape.listen,
         Some(value) => value.parse().map_err(|_| RunError::Address { name: "BALANCER_LISTEN", value })?,
     };
+    let stalls = Stalls::new(Instant::now());
     let mut meetings = None;
     let desk = Arc::new(Desk::new(Arc::new(shape.edge.clone()), shape.seed, |meter| {
-        let (lines, wanted) = Lines::new(&shape, meter);
+        let (lines, wanted) = Lines::new(&shape, meter, stalls.clone());
         meetings = Some(wanted);
         lines
     }));
@@ -91,7 +92,6 @@
     helpers.spawn(expire(keeper.clone(), l.idle_us));
     let (phase, is_phase) = watch::channel(Phase::Serving);
     let (close, is_closed) = watch::channel(false);
-    let stalls = Stalls::new(Instant::now());
     helpers.spawn(stalls::watch(stalls.clone()));
     let front = Front::new(desk.clone(), shape.clone(), keeper, is_phase, stalls);
     let listener = Net::Tcp.listen(address).await;
--- a/crates/platform/src/stalls.rs
+++ b/crates/platform/src/stalls.rs
@@ -13,6 +13,9 @@
 /// by then, and what had come on all of them is read.
 const ROUNDS: u32 = 8;
 
+/// More rounds than this are not waited for: whatever keeps the process busy, its clients' time goes on.
+const SETTLED_MOST: u32 = 64;
+
 #[derive(Debug)]
 struct Beats {
     last: Instant,
@@ -49,6 +52,17 @@
         self.lock().stall = None;
     }
 
+    /// Returns once what had come during a stall is read: at once where the process has run. For whoever is about to begin
+    /// something that a client may have taken back meanwhile.
+    pub async fn settled(&self) {
+        for _ in 0..SETTLED_MOST {
+            if self.waited(Instant::now()).is_zero() {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// The longest that something read now may have waited unread; zero where the process has run.
     ///
     /// All that is read in the first rounds after a stall counts as having waited through it. When a connection was last found
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -10,6 +10,7 @@
 //! Kept: an entry for each listed member, dropped once it is gone and its last connection with it.
 use crate::connection::{Connection, Lost, Placed};
 use crate::settings::Shape;
+use crate::stalls::Stalls;
 use bytes::{Bytes, BytesMut};
 use pointspindle::Micros;
 use pointspindle_config::{Role, Upstream};
@@ -98,6 +99,7 @@
     each: usize,
     meter: Meter,
     born: Instant,
+    stalls: Arc<Stalls>,
     /// Members to connect to though no request goes there yet ([`meet_all`]).
     meet: mpsc::UnboundedSender<String>,
 }
@@ -112,7 +114,11 @@
 }
 
 impl Lines {
-    pub fn new(shape: &Shape, meter: &Meter) -> (Self, mpsc::UnboundedReceiver<String>) {
+    pub fn new(
+        shape: &Shape,
+        meter: &Meter,
+        stalls: Arc<Stalls>,
+    ) -> (Self, mpsc::UnboundedReceiver<String>) {
         let (meet, meetings) = mpsc::unbounded_channel();
         let dice = StdRng::seed_from_u64(shape.seed);
         let lines = Self {
@@ -122,6 +128,7 @@
             each: shape.connections_each,
             meter: meter.clone(),
             born: Instant::now(),
+            stalls,
             meet,
         };
         (lines, meetings)
@@ -378,6 +385,8 @@
         mut request: RequestHead,
         body: &Bytes,
     ) -> Result<LineCall, AttemptEnd> {
+        // A client that has left while the process did not run is heard first: the call is given up then.
+        desk.side.stalls.settled().await;
         let connection = Self::connection(desk, ticket, member, &request.trace).await?;
         let (id, tag) = (request.trace.clone(), request.if_none_match.clone());
         let (asked, body) = (desk.clone(), body.clone());
