--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -366,10 +366,12 @@
 def main(folder, case):
     """Runs `case(record)`, which returns the list of broken rules, and exits with the status of the case."""
     random.seed(int(os.environ.get("SEED", "1")))
+    # An end by SIGTERM stops the processes that the case started, as one by SIGINT does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder)
     try:
         broken = asyncio.run(asyncio.wait_for(case(record), 110))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.write(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}")
         sys.exit(2)
