--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,7 +8,8 @@
 mod process;
 
 /// Bodies pass through buffers of 64 KiB that are allocated and freed for each frame. The system's allocator maps and
-/// unmaps them, which costs a page fault for every 4 KiB transferred; mimalloc retains them for reuse.
+/// unmaps them, which costs a page fault for every 4 KiB transferred; mimalloc retains them for reuse. It is built without
+/// transparent huge pages: 2 MiB would count as resident memory for each page of which one byte is used.
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod graceful_shutdown;
 mod request_deadline;
 mod request_forwarding;
+mod request_memory;
 mod resource_limits;
 mod scaling;
 mod shutdown_under_load;
--- a/crates/cli/tests/platform/support/fastcgi_client.rs
+++ b/crates/cli/tests/platform/support/fastcgi_client.rs
@@ -43,7 +43,7 @@
 
     pub fn new(socket: TcpStream) -> Self {
         let (reader, writer) = socket.into_split();
-        let records = FramedRead::new(reader, RecordCodec);
+        let records = FramedRead::new(reader, RecordCodec::default());
         Self {
             writer,
             records,
--- a/crates/dispatcher/src/net/core_handle.rs
+++ b/crates/dispatcher/src/net/core_handle.rs
@@ -127,6 +127,15 @@
     rng: StdRng,
 }
 
+/// Numbers of requests that were rejected because of their memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryRejections {
+    /// Requests that were not complete.
+    pub incomplete: u64,
+    /// Complete requests that exceeded the request budget.
+    pub complete: u64,
+}
+
 /// Results of an input other than commands to request tasks.
 #[derive(Debug, Default)]
 struct InputEffects {
@@ -178,7 +187,7 @@
             rng: StdRng::seed_from_u64(seed),
         };
         let budget = RequestBudget::new(settings.max_requests, settings.buffer_bytes);
-        let meter = BufferMeter::new(budget.soft_limit_bytes);
+        let meter = BufferMeter::with_limit(budget.soft_limit_bytes, budget.max_buffered_bytes);
         Self {
             state: Mutex::new(state),
             started_at: Instant::now(),
@@ -279,6 +288,24 @@
         }
     }
 
+    /// Records that a request was rejected because of its memory, before it was complete.
+    pub fn record_incomplete_rejection(&self) {
+        self.metrics.incomplete_requests_rejected.inc();
+    }
+
+    /// Records that a complete request was rejected because of its memory.
+    pub fn record_over_budget(&self) {
+        self.metrics.requests_over_budget.inc();
+    }
+
+    /// Number of requests that were rejected because of their memory.
+    pub fn memory_rejections(&self) -> MemoryRejections {
+        MemoryRejections {
+            incomplete: self.metrics.incomplete_requests_rejected.get(),
+            complete: self.metrics.requests_over_budget.get(),
+        }
+    }
+
     /// Number of requests without a final response.
     pub fn open_requests(&self) -> usize {
         self.lock().commands.len()
--- a/crates/dispatcher/src/net/metrics.rs
+++ b/crates/dispatcher/src/net/metrics.rs
@@ -78,6 +78,7 @@
     pub attempts_held_back: Counter,
     pub purges_confirmed: Gauge,
     pub requests_over_budget: Counter,
+    pub incomplete_requests_rejected: Counter,
     pub slow_clients: Counter,
     pub buffered_bytes: Gauge,
     pub known_calls: Gauge,
@@ -132,6 +133,8 @@
 const PURGES_CONFIRMED_HELP: &str =
     "Whether purges are confirmed to be in force (1) or not (0); -1 if no purge delay is promised";
 const REQUESTS_OVER_BUDGET_HELP: &str = "Requests refused because the request budget was exhausted";
+const INCOMPLETE_REJECTED_HELP: &str =
+    "Incomplete requests rejected because their memory limit was exceeded";
 const SLOW_CLIENTS_HELP: &str = "Responses aborted because the client read too slowly";
 const BUFFERED_HELP: &str = "Bytes of bodies buffered by connections, sampled periodically";
 const LOCK_WAITS_HELP: &str = "Number of waits for the lock of the core";
@@ -165,6 +168,7 @@
         let attempts_held_back = register.counter("held_back", ATTEMPTS_HELD_BACK_HELP);
         let purges_confirmed = register.gauge("purges_proven", PURGES_CONFIRMED_HELP);
         let requests_over_budget = register.counter("no_room", REQUESTS_OVER_BUDGET_HELP);
+        let incomplete_requests_rejected = register.counter("incomplete_rejected", INCOMPLETE_REJECTED_HELP);
         let slow_clients = register.counter("slow_clients", SLOW_CLIENTS_HELP);
         let buffered_bytes = register.gauge("buffered_bytes", BUFFERED_HELP);
         let core_lock_waits = register.counter("core_lock_waits", LOCK_WAITS_HELP);
@@ -209,6 +213,7 @@
             attempts_held_back,
             purges_confirmed,
             requests_over_budget,
+            incomplete_requests_rejected,
             slow_clients,
             buffered_bytes,
             known_calls,
--- a/crates/dispatcher/src/request_budget.rs
+++ b/crates/dispatcher/src/request_budget.rs
@@ -53,12 +53,17 @@
         if open_requests < self.max_requests && buffered_bytes < self.max_buffered_bytes {
             return BudgetDecision::Admit;
         }
-        let spread = MIN_RETRY_AFTER_US as f64 * random().clamp(0.0, 1.0);
         BudgetDecision::Reject {
-            retry_after: MIN_RETRY_AFTER_US + spread as Micros,
+            retry_after: rejection_retry_after(random),
         }
     }
 }
 
+/// Returns the Retry-After of a request that is rejected for lack of memory. `random` draws uniformly from 0 to 1.
+pub fn rejection_retry_after(random: impl FnOnce() -> f64) -> Micros {
+    let spread = MIN_RETRY_AFTER_US as f64 * random().clamp(0.0, 1.0);
+    MIN_RETRY_AFTER_US + spread as Micros
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/platform-protocol/src/fastcgi.rs
+++ b/crates/platform-protocol/src/fastcgi.rs
@@ -42,18 +42,25 @@
     UnknownRole = 3,
 }
 
+/// Largest content that is kept of a record outside the streams: the eight bytes of a begin record, or the names in a
+/// query of values.
+pub const MAX_CONTROL_CONTENT_BYTES: usize = 1024;
+
 /// Largest content of one STDOUT record: a multiple of eight bytes, as the specification recommends.
 const MAX_STDOUT_BYTES: usize = 65_528;
 
-/// A decoded record.
+/// A decoded record, or a part of a record that belongs to a stream ([`PARAMS`], [`STDIN`] or [`STDOUT`]).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
     /// Type of the record.
     pub record_type: u8,
     /// Id of the request that the record belongs to; 0 for a management record.
     pub id: u16,
-    /// Content of the record, without padding.
+    /// Content of the record, without padding. That of a record outside the streams ends at
+    /// [`MAX_CONTROL_CONTENT_BYTES`].
     pub content: Bytes,
+    /// Length of the content as it was received.
+    pub received_bytes: usize,
 }
 
 /// Error that ends the decoding of a connection.
@@ -67,41 +74,115 @@
     Io(#[from] std::io::Error),
 }
 
-/// Decodes records. Their length field limits the content to 64 KiB.
+/// A record whose header is decoded.
+#[derive(Clone, Copy, Debug)]
+struct RecordHeader {
+    record_type: u8,
+    id: u16,
+    content_bytes: usize,
+    padding_bytes: usize,
+}
+
+impl RecordHeader {
+    fn parse(bytes: &[u8]) -> Option<Self> {
+        let bytes = bytes.get(..HEADER_BYTES)?;
+        Some(Self {
+            record_type: bytes[1],
+            id: u16::from_be_bytes([bytes[2], bytes[3]]),
+            content_bytes: usize::from(u16::from_be_bytes([bytes[4], bytes[5]])),
+            padding_bytes: usize::from(bytes[6]),
+        })
+    }
+
+    /// Whether the record has content of a stream, which may be handled in any number of parts. An empty record ends
+    /// its stream.
+    fn has_stream_content(self) -> bool {
+        matches!(self.record_type, PARAMS | STDIN | STDOUT) && self.content_bytes > 0
+    }
+
+    fn record(self, content: Bytes, received_bytes: usize) -> Record {
+        Record {
+            record_type: self.record_type,
+            id: self.id,
+            content,
+            received_bytes,
+        }
+    }
+}
+
+/// Decodes records. Content of a stream is returned as it arrives, in parts, so a buffer from which this codec has
+/// decoded all it can holds at most [`MAX_CONTROL_CONTENT_BYTES`] and a header.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct RecordCodec;
+pub struct RecordCodec {
+    /// The stream record whose content is being received.
+    stream: Option<RecordHeader>,
+    /// Number of received bytes to be dropped: padding, and content beyond [`MAX_CONTROL_CONTENT_BYTES`].
+    dropped_bytes: usize,
+}
+
+impl RecordCodec {
+    /// Drops received bytes. Returns whether there are none left to drop.
+    fn drop_received(&mut self, from: &mut BytesMut) -> bool {
+        let dropped = self.dropped_bytes.min(from.len());
+        from.advance(dropped);
+        self.dropped_bytes -= dropped;
+        self.dropped_bytes == 0
+    }
+
+    /// Returns the received part of the content of a stream record.
+    fn stream_part(&mut self, mut header: RecordHeader, from: &mut BytesMut) -> Option<Record> {
+        if from.is_empty() {
+            return None;
+        }
+        let received = header.content_bytes.min(from.len());
+        header.content_bytes -= received;
+        self.stream = (header.content_bytes > 0).then_some(header);
+        if self.stream.is_none() {
+            self.dropped_bytes = header.padding_bytes;
+        }
+        let content = from.split_to(received).freeze();
+        Some(header.record(content, received))
+    }
+
+    /// Returns a record that is not part of a stream, or the empty record that ends one.
+    fn control_record(&mut self, header: RecordHeader, from: &mut BytesMut) -> Option<Record> {
+        let kept_bytes = header.content_bytes.min(MAX_CONTROL_CONTENT_BYTES);
+        if from.len() < HEADER_BYTES + kept_bytes {
+            return None;
+        }
+        from.advance(HEADER_BYTES);
+        let content = from.split_to(kept_bytes).freeze();
+        self.dropped_bytes = header.content_bytes - kept_bytes + header.padding_bytes;
+        Some(header.record(content, header.content_bytes))
+    }
+}
 
 impl Decoder for RecordCodec {
     type Item = Record;
     type Error = RecordError;
 
     fn decode(&mut self, from: &mut BytesMut) -> Result<Option<Record>, RecordError> {
+        if !self.drop_received(from) {
+            return Ok(None);
+        }
+        if let Some(header) = self.stream {
+            return Ok(self.stream_part(header, from));
+        }
         let Some(version) = from.first() else {
             return Ok(None);
         };
         if *version != VERSION {
             return Err(RecordError::Version(*version));
         }
-        if from.len() < HEADER_BYTES {
-            return Ok(None);
-        }
-        let record_type = from[1];
-        let id = u16::from_be_bytes([from[2], from[3]]);
-        let length = usize::from(u16::from_be_bytes([from[4], from[5]]));
-        let padding = usize::from(from[6]);
-        let total = HEADER_BYTES + length + padding;
-        if from.len() < total {
-            from.reserve(total - from.len());
+        let Some(header) = RecordHeader::parse(from) else {
             return Ok(None);
+        };
+        if !header.has_stream_content() {
+            return Ok(self.control_record(header, from));
         }
         from.advance(HEADER_BYTES);
-        let content = from.split_to(length).freeze();
-        from.advance(padding);
-        Ok(Some(Record {
-            record_type,
-            id,
-            content,
-        }))
+        self.stream = Some(header);
+        Ok(self.stream_part(header, from))
     }
 }
 
--- a/crates/platform-protocol/src/lib.rs
+++ b/crates/platform-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod chunked_buffer;
 pub mod client_request;
 pub mod discovery;
 pub mod fastcgi;
--- a/crates/platform-protocol/src/line_protocol.rs
+++ b/crates/platform-protocol/src/line_protocol.rs
@@ -1,6 +1,6 @@
 //! The line protocol to cache hosts, parents and the origin: encodes requests, cancellations and health checks, and
 //! decodes responses.
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use std::fmt::Write;
 use tokio_util::codec::Decoder;
 
@@ -9,7 +9,8 @@
 /// Largest length of a response line: an id, a status, a handful of short fields and a body length.
 const MAX_LINE_BYTES: usize = 512;
 const MAX_ID_BYTES: usize = 64;
-const LINE_END: &[u8] = b"\r\n";
+/// End of a line, and of a body.
+pub const LINE_END: &[u8] = b"\r\n";
 
 /// A request to an endpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -40,13 +41,13 @@
     pub revalidate: bool,
     /// Validator of the client's copy; empty for none.
     pub if_none_match: &'a str,
-    /// Body of a write.
-    pub body: &'a [u8],
+    /// Length of the body of a write.
+    pub body_bytes: usize,
 }
 
 impl CacheRequest<'_> {
-    /// Appends the encoded request.
-    pub fn write(&self, out: &mut BytesMut) {
+    /// Appends the line of the request. The body and [`LINE_END`] follow it.
+    pub fn write_line(&self, out: &mut BytesMut) {
         // Writing to a buffer cannot fail.
         let _ = write!(
             out,
@@ -78,9 +79,7 @@
             let _ = write!(out, "{separator}{name}");
             separator = "+";
         }
-        let _ = write!(out, " {}\r\n", self.body.len());
-        out.put_slice(self.body);
-        out.put_slice(LINE_END);
+        let _ = write!(out, " {}\r\n", self.body_bytes);
     }
 }
 
@@ -241,7 +240,7 @@
         let body_bytes = partial.body_bytes;
         let total_bytes = body_bytes + LINE_END.len();
         if from.len() < total_bytes {
-            from.reserve(total_bytes - from.len());
+            reserve_exact(from, total_bytes);
             return Ok(None);
         }
         if &from[body_bytes..total_bytes] != LINE_END {
@@ -256,6 +255,17 @@
     }
 }
 
+/// Makes the buffer large enough for `total_bytes`, and no larger. Its own growth would double the allocation of an
+/// earlier body, which the next body would then occupy.
+fn reserve_exact(buffer: &mut BytesMut, total_bytes: usize) {
+    if buffer.capacity() >= total_bytes {
+        return;
+    }
+    let mut exact = BytesMut::with_capacity(total_bytes);
+    exact.extend_from_slice(buffer);
+    *buffer = exact;
+}
+
 fn parse_line(line: &[u8]) -> Result<PartialResponse, LineError> {
     let line = std::str::from_utf8(line).map_err(|_| LineError::MalformedResponse)?;
     let words: Vec<&str> = line.split(' ').collect();
--- a/crates/platform-protocol/src/request_assembly.rs
+++ b/crates/platform-protocol/src/request_assembly.rs
@@ -3,6 +3,7 @@
 //! The state has an entry for each open request, at most [`MAX_OPEN_REQUESTS`], with the params and body received so
 //! far; the sizes of both are limited. A protocol violation ends the session. An invalid request does not: it is
 //! reported, and its further records are discarded, up to a limit in bytes.
+use crate::chunked_buffer::ChunkedBuffer;
 use crate::fastcgi::*;
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
@@ -92,11 +93,22 @@
 
 #[derive(Debug)]
 enum AssemblyState {
-    ReadingParams(BytesMut),
-    ReadingBody { params: Bytes, body: BytesMut },
+    ReadingParams(ChunkedBuffer),
+    ReadingBody { params: Bytes, body: ChunkedBuffer },
     Complete,
 }
 
+impl AssemblyState {
+    /// Returns the memory that is allocated for params and body.
+    fn allocated_bytes(&self) -> usize {
+        match self {
+            Self::ReadingParams(params) => params.allocated_bytes(),
+            Self::ReadingBody { params, body } => params.len() + body.allocated_bytes(),
+            Self::Complete => 0,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct OpenRequest {
     state: AssemblyState,
@@ -118,19 +130,19 @@
     ) -> Result<Option<RecordOutcome>, InvalidRequest> {
         match (&mut self.state, kind) {
             (AssemblyState::ReadingParams(params), PARAMS) if content.is_empty() => {
-                let params = std::mem::take(params).freeze();
-                let body = BytesMut::new();
+                let params = std::mem::take(params).into_bytes();
+                let body = ChunkedBuffer::default();
                 self.state = AssemblyState::ReadingBody { params, body };
             }
             (AssemblyState::ReadingParams(params), PARAMS) => {
                 if params.len() + content.len() > MAX_PARAMS_BYTES {
                     return Err(InvalidRequest::ParamsTooLong);
                 }
-                params.extend_from_slice(content);
+                params.extend(content);
             }
             (AssemblyState::ReadingBody { params, body }, STDIN) if content.is_empty() => {
                 let params = std::mem::take(params);
-                let body = std::mem::take(body).freeze();
+                let body = std::mem::take(body).into_bytes();
                 self.state = AssemblyState::Complete;
                 return Ok(Some(RecordOutcome::Complete {
                     id,
@@ -143,7 +155,7 @@
                 if body.len() + content.len() > MAX_BODY_BYTES {
                     return Err(InvalidRequest::BodyTooLong);
                 }
-                body.extend_from_slice(content);
+                body.extend(content);
             }
             (AssemblyState::Complete, _) => return Ok(None),
             _ => return Err(InvalidRequest::RecordsOutOfOrder),
@@ -170,6 +182,26 @@
         self.open.values().filter(|r| !r.is_complete()).count()
     }
 
+    /// Returns the memory that is allocated for the params and bodies of the requests that are not complete.
+    pub fn incomplete_bytes(&self) -> usize {
+        let requests = self.open.values();
+        requests.map(|r| r.state.allocated_bytes()).sum()
+    }
+
+    /// Drops the incomplete request for which most memory is allocated, and returns its id. Its further records are
+    /// discarded. Returns `None` if nothing is allocated for any.
+    pub fn drop_largest_incomplete(&mut self) -> Option<u16> {
+        let allocated = self
+            .open
+            .iter()
+            .map(|(id, r)| (*id, r.state.allocated_bytes()));
+        let (id, _) = allocated
+            .filter(|(_, bytes)| *bytes > 0)
+            .max_by_key(|(_, bytes)| *bytes)?;
+        self.finish(id);
+        Some(id)
+    }
+
     /// Drops the requests that are not complete and returns their ids. Their further records are discarded.
     pub fn drop_incomplete(&mut self) -> Vec<u16> {
         let incomplete = self.open.iter().filter(|(_, r)| !r.is_complete());
@@ -189,6 +221,7 @@
             record_type,
             id,
             content,
+            received_bytes,
         } = record;
         match record_type {
             BEGIN_REQUEST => self.begin(id, &content),
@@ -196,7 +229,7 @@
             PARAMS | STDIN => self.add(record_type, id, &content),
             GET_VALUES => Ok(RecordOutcome::Reply(values_reply(&content))),
             other => {
-                self.discard(content.len())?;
+                self.discard(received_bytes)?;
                 Ok(RecordOutcome::Reply(unknown_type_reply(other)))
             }
         }
@@ -227,7 +260,7 @@
             return Ok(RecordOutcome::TooManyOpen { id });
         }
         let request = OpenRequest {
-            state: AssemblyState::ReadingParams(BytesMut::new()),
+            state: AssemblyState::ReadingParams(ChunkedBuffer::default()),
             keep_alive: content[2] & KEEP_CONN != 0,
         };
         self.open.insert(id, request);
--- a/crates/platform-protocol/tests/fastcgi.rs
+++ b/crates/platform-protocol/tests/fastcgi.rs
@@ -44,7 +44,8 @@
     assembler: &mut RequestAssembler,
     pieces: impl IntoIterator<Item = &'a [u8]>,
 ) -> Result<Vec<RecordOutcome>, String> {
-    let (mut codec, mut buffer, mut outcomes) = (RecordCodec, BytesMut::new(), Vec::new());
+    let (mut codec, mut buffer, mut outcomes) =
+        (RecordCodec::default(), BytesMut::new(), Vec::new());
     for piece in pieces {
         buffer.extend_from_slice(piece);
         while let Some(record) = codec.decode(&mut buffer).map_err(|e| e.to_string())? {
--- a/crates/platform-protocol/tests/line_protocol.rs
+++ b/crates/platform-protocol/tests/line_protocol.rs
@@ -33,7 +33,8 @@
         timeout_ms: 900,
         ..Default::default()
     };
-    request.write(&mut out);
+    request.write_line(&mut out);
+    out.extend_from_slice(LINE_END);
     CacheRequest {
         fill_source: "p-1",
         retention_rank: 2,
@@ -42,10 +43,12 @@
         revalidate: true,
         if_none_match: "4be0",
         idempotency_key: "5c0f",
-        body: b"xyz",
+        body_bytes: 3,
         ..request
     }
-    .write(&mut out);
+    .write_line(&mut out);
+    out.extend_from_slice(b"xyz");
+    out.extend_from_slice(LINE_END);
     write_cancel(&mut out, "9b1f");
     write_health_check(&mut out, "sign");
     let expected = "PULL 9b1f kind=page,obj=7f3a,seg=3,ms=900 0\r\n\r\n\
--- a/crates/platform/src/connection/metered_codec.rs
+++ b/crates/platform/src/connection/metered_codec.rs
@@ -1,6 +1,6 @@
 //! Decodes responses, accounts for their bytes, and reports received bytes to the connection.
-use super::Connection;
-use bytes::{Bytes, BytesMut};
+use super::{Connection, READ_BUFFER_BYTES};
+use bytes::BytesMut;
 use pointspindle_platform_protocol::line_protocol::{CacheResponse, CacheResponseCodec, LineError};
 use pointspindle_transport::BufferMeter;
 use std::sync::Arc;
@@ -15,6 +15,11 @@
 }
 
 impl MeteredCodec {
+    /// Whether a response is incomplete whose body is counted already.
+    pub fn has_incomplete_response(&self) -> bool {
+        self.codec.incomplete_response_id().is_some()
+    }
+
     /// Creates the codec of one connection.
     pub fn new(connection: Arc<Connection>, meter: BufferMeter) -> Self {
         Self {
@@ -39,7 +44,11 @@
         self.incomplete.set(self.codec.incomplete_body_bytes());
         if let Some(response) = &mut response {
             let body = std::mem::take(&mut response.body);
-            response.body = metered(body, &self.incomplete.meter);
+            response.body = self.incomplete.meter.track(body);
+            if from.is_empty() && response.body.len() > READ_BUFFER_BYTES {
+                // The buffer would keep the memory of the body, which is no longer counted once the body is dropped.
+                *from = BytesMut::with_capacity(READ_BUFFER_BYTES);
+            }
         }
         Ok(response)
     }
@@ -66,32 +75,3 @@
         self.meter.sub(self.bytes);
     }
 }
-
-/// Counts a complete body on the meter until its last reference is dropped.
-fn metered(body: Bytes, meter: &BufferMeter) -> Bytes {
-    if body.is_empty() {
-        return body;
-    }
-    meter.add(body.len());
-    Bytes::from_owner(MeteredBody {
-        body,
-        meter: meter.clone(),
-    })
-}
-
-struct MeteredBody {
-    body: Bytes,
-    meter: BufferMeter,
-}
-
-impl AsRef<[u8]> for MeteredBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
-impl Drop for MeteredBody {
-    fn drop(&mut self) {
-        self.meter.sub(self.body.len());
-    }
-}
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -18,18 +18,21 @@
 
 pub(crate) use in_flight_request::InFlightRequest;
 pub(crate) use state::RequestError;
-pub(crate) use write_queue::RequestEncoder;
+pub(crate) use write_queue::{EncodedRequest, RequestEncoder};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use metered_codec::MeteredCodec;
 use pointspindle::Micros;
 use pointspindle_dispatcher::keep_alive::{KeepAliveAction, KeepAliveRule};
-use pointspindle_platform_protocol::line_protocol::{self, CacheResponse, ResponseStatus};
+use pointspindle_platform_protocol::line_protocol::{
+    self, CacheResponse, LineError, ResponseStatus,
+};
 use pointspindle_transport::{BufferMeter, RetryingReadHalf};
 use state::ConnectionState;
-use std::io;
+use std::io::{self, IoSlice};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
@@ -153,6 +156,9 @@
     ) -> KeepAliveAction {
         let mut state = self.lock();
         let last_received = to_micros(state.last_received);
+        if state.is_paused {
+            return KeepAliveAction::Healthy;
+        }
         let is_awaited = !state.in_flight.is_empty();
         state.keep_alive.check(rule, now, last_received, is_awaited)
     }
@@ -201,7 +207,8 @@
     fn write(&self, socket: &OwnedWriteHalf) -> io::Result<()> {
         while self.prepare_write() {
             let unsent = self.lock().write_queue.unsent();
-            match socket.try_write(&unsent) {
+            let slices: Vec<IoSlice<'_>> = unsent.iter().map(|p| IoSlice::new(p)).collect();
+            match socket.try_write_vectored(&slices) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(sent) => self.lock().bytes_sent(sent),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -217,21 +224,25 @@
 
     /// Reads and writes until the connection ends. Returns the reason, or `None` if the dispatcher closed the
     /// connection.
+    ///
+    /// While the limit of buffered bytes is reached, no further response is read, and nothing is written.
     pub async fn run(self: Arc<Self>, socket: TcpStream, meter: BufferMeter) -> Option<String> {
         let (read, write) = socket.into_split();
-        let codec = MeteredCodec::new(self.clone(), meter);
+        let codec = MeteredCodec::new(self.clone(), meter.clone());
         let read = RetryingReadHalf::new(read);
         let mut responses = FramedRead::with_capacity(read, codec, READ_BUFFER_BYTES);
         let mut has_yielded = false;
         let reason = loop {
-            let has_writes = self.lock().write_queue.has_writes();
+            let is_paused = is_paused(&responses, &meter);
+            let has_writes = self.lock().set_paused(is_paused, Instant::now());
             tokio::select! {
                 biased;
                 _ = self.close_requested.notified() => break None,
-                response = responses.next() => match response {
-                    Some(Ok(response)) => self.handle_response(response),
-                    Some(Err(e)) => break Some(e.to_string()),
-                    None => break Some("closed by the endpoint".to_owned()),
+                event = next_event(&mut responses, &meter), if !is_paused => match event {
+                    ReadEvent::Paused => {}
+                    ReadEvent::Response(response) => self.handle_response(response),
+                    ReadEvent::Failed(error) => break Some(error.to_string()),
+                    ReadEvent::Closed => break Some("closed by the endpoint".to_owned()),
                 },
                 writable = write.writable(), if has_writes => {
                     // The endpoint may have closed an idle connection: yields once before the first request, so that
@@ -247,6 +258,7 @@
                     }
                 }
                 _ = self.write_pending.notified() => {}
+                () = meter.below_limit(), if is_paused => {}
             }
         };
         self.lock().end();
@@ -254,6 +266,39 @@
     }
 }
 
+type ResponseReader = FramedRead<RetryingReadHalf, MeteredCodec>;
+
+/// An event on the reading half of a connection.
+enum ReadEvent {
+    Response(CacheResponse),
+    Failed(LineError),
+    Closed,
+    /// The limit of buffered bytes is reached, and no further response is read.
+    Paused,
+}
+
+/// Whether no response may be read because the limit of buffered bytes is reached. A response whose body is counted
+/// already is read to its end.
+fn is_paused(responses: &ResponseReader, meter: &BufferMeter) -> bool {
+    meter.is_limit_reached() && !responses.decoder().has_incomplete_response()
+}
+
+/// Waits for the next event. The limit is checked whenever input has arrived, since other connections may have reached
+/// it during the wait. Cancel safe.
+async fn next_event(responses: &mut ResponseReader, meter: &BufferMeter) -> ReadEvent {
+    std::future::poll_fn(|context| {
+        if is_paused(responses, meter) {
+            return Poll::Ready(ReadEvent::Paused);
+        }
+        responses.poll_next_unpin(context).map(|next| match next {
+            Some(Ok(response)) => ReadEvent::Response(response),
+            Some(Err(error)) => ReadEvent::Failed(error),
+            None => ReadEvent::Closed,
+        })
+    })
+    .await
+}
+
 /// Encodes the cancellation of a request.
 fn encode_cancellation(id: &str) -> Bytes {
     let mut out = BytesMut::new();
--- a/crates/platform/src/connection/state.rs
+++ b/crates/platform/src/connection/state.rs
@@ -1,7 +1,6 @@
 //! State of a connection: the requests in flight and the progress of their responses.
 use super::encode_cancellation;
-use super::write_queue::{RequestEncoder, WriteQueue};
-use bytes::Bytes;
+use super::write_queue::{EncodedRequest, RequestEncoder, WriteQueue};
 use pointspindle_dispatcher::keep_alive::KeepAlive;
 use pointspindle_platform_protocol::line_protocol::CacheResponse;
 use std::collections::{HashMap, VecDeque};
@@ -68,6 +67,8 @@
     /// Time at which a request was last queued or completed.
     pub last_used: Instant,
     pub keep_alive: KeepAlive,
+    /// Whether responses are not read for lack of memory. The endpoint is not blamed for the silence meanwhile.
+    pub is_paused: bool,
 }
 
 impl ConnectionState {
@@ -82,6 +83,7 @@
             last_received: now,
             last_used: now,
             keep_alive: KeepAlive::default(),
+            is_paused: false,
         }
     }
 
@@ -106,6 +108,14 @@
         is_available.then_some(in_flight)
     }
 
+    /// Records whether responses are not read for lack of memory. Returns whether there is a write that may continue.
+    pub fn set_paused(&mut self, is_paused: bool, now: Instant) -> bool {
+        if std::mem::replace(&mut self.is_paused, is_paused) && !is_paused {
+            self.last_received = now;
+        }
+        !is_paused && self.write_queue.has_writes()
+    }
+
     /// Queues a request. Returns `None` if the connection is closed or the id is in flight.
     pub fn enqueue(
         &mut self,
@@ -141,9 +151,9 @@
         &mut self,
         id: String,
         encode: RequestEncoder,
-        encoded: Option<Bytes>,
+        encoded: Option<EncodedRequest>,
     ) -> bool {
-        let Some(bytes) = encoded else {
+        let Some(encoded) = encoded else {
             if let Some(pending) = self.in_flight.remove(&id) {
                 let _ = pending.result.send(Err(RequestError::NotSent));
             }
@@ -153,7 +163,7 @@
             return false;
         }
         tracing::debug!(transaction_id = id, "request started");
-        self.write_queue.start_request(id, encode, bytes);
+        self.write_queue.start_request(id, encode, encoded);
         true
     }
 
--- a/crates/platform/src/connection/tests.rs
+++ b/crates/platform/src/connection/tests.rs
@@ -5,19 +5,29 @@
     connection.lock().write_queue.queued()
 }
 
+/// Returns a request of this line, without a body.
+fn encoded(line: &[u8]) -> EncodedRequest {
+    EncodedRequest::new(BytesMut::from(line), Bytes::new())
+}
+
+/// Returns the number of bytes of the current write that are not sent.
+fn unsent_bytes(connection: &Connection) -> usize {
+    let unsent = connection.lock().write_queue.unsent();
+    unsent.iter().map(Bytes::len).sum()
+}
+
 fn send(connection: &Arc<Connection>, id: &str) -> InFlightRequest {
-    let line = Bytes::from(format!("PULL {id}"));
+    let request = encoded(format!("PULL {id}").as_bytes());
     connection
-        .send(id, Box::new(move || Some(line.clone())))
+        .send(id, Box::new(move || Some(request.clone())))
         .expect("the connection is open")
 }
 
 /// Treats all queued writes as sent.
 fn write_all(connection: &Connection) {
     while connection.prepare_write() {
-        let mut state = connection.lock();
-        let unsent = state.write_queue.unsent().len();
-        state.bytes_sent(unsent);
+        let unsent = unsent_bytes(connection);
+        connection.lock().bytes_sent(unsent);
     }
 }
 
@@ -121,12 +131,12 @@
     let (connection, mut peer, task) = running_connection().await;
     let encoded = Arc::new(Mutex::new(Vec::new()));
     let send = |id: &str, bytes: usize| {
-        let line = Bytes::from(vec![b'x'; bytes]);
+        let body = Bytes::from(vec![b'x'; bytes]);
         let encoded = encoded.clone();
         let name = id.to_owned();
         let encode = move || {
             encoded.lock().unwrap().push(name.clone());
-            Some(line.clone())
+            Some(EncodedRequest::new(BytesMut::new(), body.clone()))
         };
         connection
             .send(id, Box::new(encode))
@@ -136,7 +146,7 @@
     let large = send("large", large_bytes);
     // Waits until a part of the request is sent and the socket accepts no more bytes.
     loop {
-        let unsent_bytes = connection.lock().write_queue.unsent().len();
+        let unsent_bytes = unsent_bytes(&connection);
         if unsent_bytes > 0 && unsent_bytes < large_bytes {
             break;
         }
@@ -176,19 +186,15 @@
 #[tokio::test]
 async fn request_dropped_mid_write_is_followed_by_cancellation() {
     let (connection, peer, _task) = running_connection().await;
-    let line = Bytes::from([vec![b'x'; 8 << 20], b"\r\n".to_vec()].concat());
-    let large = connection
-        .send("large", Box::new(move || Some(line.clone())))
-        .unwrap();
-    while connection.lock().write_queue.unsent().is_empty() {
+    let body = Bytes::from(vec![b'x'; 8 << 20]);
+    let encode = move || Some(EncodedRequest::new(BytesMut::new(), body.clone()));
+    let large = connection.send("large", Box::new(encode)).unwrap();
+    while unsent_bytes(&connection) == 0 {
         tokio::task::yield_now().await;
     }
     drop(large);
     let mut next = connection
-        .send(
-            "next",
-            Box::new(|| Some(Bytes::from_static(b"PULL next\r\n"))),
-        )
+        .send("next", Box::new(|| Some(encoded(b"PULL next"))))
         .unwrap();
     let mut lines = FramedRead::new(peer, tokio_util::codec::LinesCodec::new());
     assert_eq!(lines.next().await.unwrap().unwrap().len(), 8 << 20);
--- a/crates/platform/src/connection/write_queue.rs
+++ b/crates/platform/src/connection/write_queue.rs
@@ -1,11 +1,40 @@
 //! The ordered queue of writes of a connection: requests, which are encoded right before their first byte is sent, and
 //! control messages.
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
+use pointspindle_platform_protocol::line_protocol::LINE_END;
 use std::collections::VecDeque;
 use tokio::time::Instant;
 
+/// An encoded request. The body is not copied, so a request that is partly sent occupies no memory beyond its body.
+#[derive(Clone, Debug)]
+pub(crate) struct EncodedRequest {
+    line: Bytes,
+    body: Bytes,
+}
+
+impl EncodedRequest {
+    /// Creates a request from its line and its body, without the line end after the body.
+    pub fn new(mut line: BytesMut, body: Bytes) -> Self {
+        if body.is_empty() {
+            line.extend_from_slice(LINE_END);
+        }
+        Self {
+            line: line.freeze(),
+            body,
+        }
+    }
+
+    /// Returns the pieces in which the request is written.
+    fn into_pieces(self) -> VecDeque<Bytes> {
+        if self.body.is_empty() {
+            return VecDeque::from([self.line]);
+        }
+        VecDeque::from([self.line, self.body, Bytes::from_static(LINE_END)])
+    }
+}
+
 /// Encodes a request right before its first byte is sent. Returns `None` if the request must not begin any more.
-pub(crate) type RequestEncoder = Box<dyn FnMut() -> Option<Bytes> + Send>;
+pub(crate) type RequestEncoder = Box<dyn FnMut() -> Option<EncodedRequest> + Send>;
 
 enum QueuedWrite {
     Request { id: String, encode: RequestEncoder },
@@ -18,7 +47,8 @@
     request_id: Option<String>,
     /// Present while no byte of the request is sent: it is encoded again before the next try.
     reencode: Option<RequestEncoder>,
-    unsent: Bytes,
+    /// Pieces that are not sent yet.
+    unsent: VecDeque<Bytes>,
     /// Time at which the request was cancelled while it was partly sent.
     cancelled_at: Option<Instant>,
 }
@@ -74,7 +104,7 @@
                 self.current = Some(CurrentWrite {
                     request_id: None,
                     reencode: None,
-                    unsent,
+                    unsent: VecDeque::from([unsent]),
                     cancelled_at: None,
                 });
                 NextWrite::Current
@@ -83,27 +113,25 @@
     }
 
     /// Makes an encoded request the current write.
-    pub fn start_request(&mut self, id: String, encode: RequestEncoder, unsent: Bytes) {
+    pub fn start_request(&mut self, id: String, encode: RequestEncoder, encoded: EncodedRequest) {
         self.current = Some(CurrentWrite {
             request_id: Some(id),
             reencode: Some(encode),
-            unsent,
+            unsent: encoded.into_pieces(),
             cancelled_at: None,
         });
     }
 
-    /// Returns the unsent rest of the current write.
-    pub fn unsent(&self) -> Bytes {
-        self.current
-            .as_ref()
-            .map(|current| current.unsent.clone())
-            .unwrap_or_default()
+    /// Returns the unsent pieces of the current write.
+    pub fn unsent(&self) -> Vec<Bytes> {
+        let current = self.current.iter();
+        current.flat_map(|c| c.unsent.iter().cloned()).collect()
     }
 
     /// Records that bytes of the current write were sent. Returns the id of the request that is now sent completely.
     pub fn advance(&mut self, sent: usize) -> Option<String> {
         let current = self.current.as_mut()?;
-        current.unsent.advance(sent);
+        advance_pieces(&mut current.unsent, sent);
         current.reencode = None;
         if !current.unsent.is_empty() {
             return None;
@@ -170,3 +198,16 @@
         self.queue.iter().map(text).collect()
     }
 }
+
+/// Removes the first `count` bytes of the pieces.
+fn advance_pieces(pieces: &mut VecDeque<Bytes>, mut count: usize) {
+    while let Some(piece) = pieces.front_mut() {
+        let from_piece = count.min(piece.len());
+        piece.advance(from_piece);
+        count -= from_piece;
+        if !piece.is_empty() {
+            return;
+        }
+        pieces.pop_front();
+    }
+}
--- a/crates/platform/src/connection_pool/call.rs
+++ b/crates/platform/src/connection_pool/call.rs
@@ -1,6 +1,6 @@
 //! Sends one attempt over the line protocol and converts its response to response parts.
 use super::{ConnectionPool, PlatformCore};
-use crate::connection::{InFlightRequest, RequestError};
+use crate::connection::{EncodedRequest, InFlightRequest, RequestError};
 use bytes::{Bytes, BytesMut};
 use pointspindle_dispatcher::core::AttemptEnd;
 use pointspindle_dispatcher::net::core_handle::{AttemptId, EndpointTransport, UpstreamCall};
@@ -82,7 +82,7 @@
     }
 }
 
-fn encode_request(request: &RequestHead, body: &Bytes) -> Bytes {
+fn encode_request(request: &RequestHead, body: &Bytes) -> EncodedRequest {
     let fetch = request.fetch.as_ref();
     let cache_request = CacheRequest {
         id: &request.trace,
@@ -98,11 +98,11 @@
         only_if_cached: fetch.is_some_and(|f| f.only_if_cached),
         revalidate: fetch.is_some_and(|f| f.revalidate),
         if_none_match: &request.if_none_match,
-        body,
+        body_bytes: body.len(),
     };
-    let mut out = BytesMut::with_capacity(REQUEST_LINE_BYTES + body.len());
-    cache_request.write(&mut out);
-    out.freeze()
+    let mut line = BytesMut::with_capacity(REQUEST_LINE_BYTES);
+    cache_request.write_line(&mut line);
+    EncodedRequest::new(line, body.clone())
 }
 
 /// Converts a largest age to milliseconds. It is rounded down, so that no copy is too old, but not to 0, which would
--- a/crates/platform/src/frontend/client_stream.rs
+++ b/crates/platform/src/frontend/client_stream.rs
@@ -6,8 +6,6 @@
 use pointspindle_protocol::ResponseHead;
 use tokio_util::sync::CancellationToken;
 
-const MICROS_PER_MILLI: Micros = 1_000;
-
 /// The client side of one request.
 pub(super) struct FastCgiClient {
     /// Id of the request on its connection.
@@ -72,12 +70,7 @@
     }
 
     async fn reject(&mut self, retry_after: Option<Micros>) {
-        let fields = match retry_after {
-            Some(after) => format!("X-Throttle-Ms: {}\r\n", after.div_ceil(MICROS_PER_MILLI)),
-            None => String::new(),
-        };
-        let status = HttpStatus::ServiceUnavailable;
-        let _ = self.send(Outgoing::response(self.id, status, &fields, Bytes::new()));
+        let _ = self.send(Outgoing::rejection(self.id, retry_after));
     }
 
     async fn fail(&mut self) {
--- a/crates/platform/src/frontend/mod.rs
+++ b/crates/platform/src/frontend/mod.rs
@@ -1,5 +1,7 @@
 //! The FastCGI frontend: the listener and the state that all client connections share. Each connection is a `session`.
 mod client_stream;
+mod input_budget;
+mod input_ledger;
 mod request_task;
 mod response_writer;
 mod session;
@@ -10,8 +12,9 @@
 use crate::pause_detector::PauseDetector;
 use crate::settings::PlatformSettings;
 use crate::shutdown::ShutdownPhase;
+use input_budget::InputBudget;
 use pointspindle_dispatcher::net::connection_registry::{ConnectionPermit, ConnectionRegistry};
-use pointspindle_transport::{Listener, Socket, MAX_ACCEPT_QUEUE_FAILURES};
+use pointspindle_transport::{BufferMeter, Listener, Socket, MAX_ACCEPT_QUEUE_FAILURES};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -34,6 +37,10 @@
     pause_detector: Arc<PauseDetector>,
     /// Transaction ids of the requests in flight on all connections.
     transactions: Arc<Mutex<HashSet<String>>>,
+    /// Bounds the memory of incomplete requests.
+    input_budget: Arc<InputBudget>,
+    /// Counts the bodies of complete requests until they are sent, with the limit from which on new ones are rejected.
+    request_bodies: BufferMeter,
 }
 
 impl Frontend {
@@ -45,6 +52,8 @@
         phase: watch::Receiver<ShutdownPhase>,
         pause_detector: Arc<PauseDetector>,
     ) -> Self {
+        let input_budget = InputBudget::new(core.clone(), settings.incomplete_request_bytes);
+        let request_bodies = BufferMeter::new(settings.request_body_bytes);
         Self {
             core,
             settings,
@@ -52,6 +61,8 @@
             phase,
             pause_detector,
             transactions: Arc::default(),
+            input_budget,
+            request_bodies,
         }
     }
 
@@ -67,7 +78,7 @@
     fn serve(&self, sessions: &mut JoinSet<()>, socket: Socket, peer: SocketAddr) {
         let Socket::Tcp(socket) = socket else { return };
         if let Ok(permit) = self.registry.admit(peer.ip()) {
-            sessions.spawn(serve_session(self.clone(), socket, permit));
+            sessions.spawn(serve_session(self.clone(), socket, peer, permit));
         }
     }
 }
@@ -78,9 +89,14 @@
         .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-async fn serve_session(frontend: Frontend, socket: TcpStream, permit: ConnectionPermit) {
+async fn serve_session(
+    frontend: Frontend,
+    socket: TcpStream,
+    peer: SocketAddr,
+    permit: ConnectionPermit,
+) {
     let _ = socket.set_nodelay(true);
-    session::run(frontend, socket, &permit).await;
+    session::run(frontend, socket, peer, &permit).await;
 }
 
 /// Accepts connections until the listener has to close, or until the dispatcher is shutting down and has had no
--- a/crates/platform/src/frontend/response_writer.rs
+++ b/crates/platform/src/frontend/response_writer.rs
@@ -1,6 +1,7 @@
 //! Writes the responses of a FastCGI session in the order in which they are completed.
 use super::session::SessionRequests;
 use bytes::{Bytes, BytesMut};
+use pointspindle::Micros;
 use pointspindle_platform_protocol::fastcgi::{self, ProtocolStatus};
 use pointspindle_transport::RetryingWriteHalf;
 use std::io::{ErrorKind, IoSlice};
@@ -12,6 +13,7 @@
 
 /// Time within which a client must accept a message, or it is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+const MICROS_PER_MILLI: Micros = 1_000;
 /// Application status in the end record of a request without a response.
 const NO_RESPONSE_STATUS: u32 = 1;
 
@@ -71,6 +73,15 @@
         Self::response(id, status, "", Bytes::new())
     }
 
+    /// Creates the response to a request that was not executed, with the time after which the client may retry.
+    pub fn rejection(id: u16, retry_after: Option<Micros>) -> Self {
+        let fields = match retry_after {
+            Some(after) => format!("X-Throttle-Ms: {}\r\n", after.div_ceil(MICROS_PER_MILLI)),
+            None => String::new(),
+        };
+        Self::response(id, HttpStatus::ServiceUnavailable, &fields, Bytes::new())
+    }
+
     /// Creates the end of an open request without a response.
     pub fn end_request(id: u16, status: ProtocolStatus) -> Self {
         Self {
--- a/crates/platform/src/frontend/session.rs
+++ b/crates/platform/src/frontend/session.rs
@@ -17,6 +17,7 @@
 //! Before the dispatcher closes a connection for one of the last two reasons, it reads and serves what has already
 //! arrived.
 use super::client_stream::FastCgiClient;
+use super::input_budget::{retry_after_lack_of_memory, InputAccount};
 use super::request_task::{self, TransactionGuard};
 use super::response_writer::{response_channel, HttpStatus, Outgoing, ResponseSender};
 use super::session_input::{ImmediateInput, InputEvent, InputMode, SessionInput};
@@ -34,6 +35,7 @@
 };
 use pointspindle_transport::{RetryingReadHalf, RetryingWriteHalf};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -67,6 +69,18 @@
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Drops the incomplete request that occupies most memory. Returns its id and the memory that the others occupy, or
+    /// `None` if none occupies any.
+    pub fn drop_largest_incomplete(&self) -> Option<(u16, usize)> {
+        let mut requests = self.lock();
+        let id = requests.drop_largest_incomplete()?;
+        let remaining_bytes = requests.incomplete_bytes();
+        drop(requests);
+        // The session plans anew.
+        self.finished.notify_one();
+        Some((id, remaining_bytes))
+    }
+
     /// Finishes a request whose response is written.
     pub fn finish(&self, id: u16) {
         self.lock().finish(id);
@@ -75,14 +89,19 @@
 }
 
 /// Serves a connection until it ends.
-pub(super) async fn run(frontend: Frontend, socket: TcpStream, permit: &ConnectionPermit) {
+pub(super) async fn run(
+    frontend: Frontend,
+    socket: TcpStream,
+    peer: SocketAddr,
+    permit: &ConnectionPermit,
+) {
     let (read, write) = socket.into_split();
     let requests = Arc::new(SessionRequests::default());
     let (responses, writer) = response_channel();
     let writer = writer.run(RetryingWriteHalf::new(write), requests.clone());
     let mut writer = tokio::spawn(writer);
     let mut input = SessionInput::new(RetryingReadHalf::new(read));
-    let mut session = Session::new(frontend, requests, responses);
+    let mut session = Session::new(frontend, peer, requests, responses);
     let end = session.serve(&mut input, permit).await;
     session.cancelled.cancel();
     // The writer ends when the last request's task has dropped its sender.
@@ -155,6 +174,7 @@
     frontend: Frontend,
     requests: Arc<SessionRequests>,
     responses: ResponseSender,
+    account: InputAccount,
     /// Cancelled when the session ends.
     cancelled: CancellationToken,
     /// Cancellation tokens of the requests in flight, by request id.
@@ -171,13 +191,22 @@
 }
 
 impl Session {
-    fn new(frontend: Frontend, requests: Arc<SessionRequests>, responses: ResponseSender) -> Self {
+    fn new(
+        frontend: Frontend,
+        peer: SocketAddr,
+        requests: Arc<SessionRequests>,
+        responses: ResponseSender,
+    ) -> Self {
+        let account = frontend
+            .input_budget
+            .open(peer, requests.clone(), responses.clone());
         let head_timeout_us = frontend.settings.dispatcher.listen.head_timeout_us;
         let head_timeout = Duration::from_micros(head_timeout_us);
         Self {
             frontend,
             requests,
             responses,
+            account,
             cancelled: CancellationToken::new(),
             in_flight: HashMap::new(),
             invalid_requests: 0,
@@ -195,6 +224,7 @@
         loop {
             if self.frontend.phase() == ShutdownPhase::Finishing {
                 self.reject_incomplete();
+                self.report_memory();
             }
             let plan = self.plan();
             if self.responses.unwritten_count() > MAX_UNWRITTEN_RESPONSES {
@@ -260,11 +290,13 @@
             SessionEvent::Input(InputEvent::Undecodable(error)) => {
                 self.stop_decoding(error.into());
                 self.update_permit(permit);
+                self.report_memory();
             }
             SessionEvent::Input(InputEvent::Record(record)) => {
                 permit.mark_busy();
                 self.handle_record(record);
                 self.update_permit(permit);
+                self.report_memory();
             }
             SessionEvent::CloseDue => return self.end_wait(WaitEnd::Close, input),
             SessionEvent::RequestFinished => self.update_permit(permit),
@@ -283,6 +315,12 @@
         None
     }
 
+    /// Reports the memory of the incomplete requests to the budget, which may reject some of them.
+    fn report_memory(&self) {
+        let bytes = self.requests.lock().incomplete_bytes();
+        self.account.report(bytes);
+    }
+
     fn update_permit(&self, permit: &ConnectionPermit) {
         if self.requests.lock().open_count() == 0 {
             permit.mark_idle();
@@ -306,6 +344,7 @@
             }
             WaitEnd::RejectIncomplete => {
                 self.time_out_incomplete();
+                self.report_memory();
                 None
             }
         }
@@ -439,15 +478,30 @@
         self.send(Outgoing::empty_response(id, status));
     }
 
+    /// Rejects a complete request, which has reached neither the core nor an endpoint.
+    fn reject_for_lack_of_memory(&self, id: u16) {
+        let core = &self.frontend.core;
+        core.record_over_budget();
+        self.send(Outgoing::rejection(id, retry_after_lack_of_memory(core)));
+    }
+
     fn begin_request(&mut self, id: u16, request: ClientRequest, body: Bytes) {
         if self.frontend.phase() > ShutdownPhase::Serving {
             // The client retries on another dispatcher, which has more time for the request.
             return self.send(Outgoing::empty_response(id, HttpStatus::ServiceUnavailable));
         }
+        if !body.is_empty() && self.frontend.request_bodies.is_threshold_reached() {
+            return self.reject_for_lack_of_memory(id);
+        }
         let Some(transaction) = TransactionGuard::reserve(&self.frontend, &request.transaction_id)
         else {
             return self.reject_invalid(id, RejectReason::DuplicateTransaction);
         };
+        self.account.mark_established();
+        let body = match body.is_empty() {
+            true => body,
+            false => self.frontend.request_bodies.track(body),
+        };
         let cancelled = self.cancelled.child_token();
         self.in_flight.retain(|_, token| !token.is_cancelled());
         self.in_flight.insert(id, cancelled.clone());
--- a/crates/platform/src/frontend/session_input.rs
+++ b/crates/platform/src/frontend/session_input.rs
@@ -1,15 +1,16 @@
 //! Reads the input of a FastCGI session, and decodes or discards it.
+//!
+//! No memory is allocated for input before it arrives, and the codec leaves no more than the start of a record in the
+//! buffer, so a connection that waits for input holds next to nothing.
 use super::TRANSIT_TIME;
 use bytes::BytesMut;
-use futures_util::StreamExt;
 use pointspindle_platform_protocol::fastcgi::{Record, RecordCodec, RecordError};
 use pointspindle_transport::RetryingReadHalf;
-use tokio::io::AsyncReadExt;
-use tokio_util::codec::{Decoder, FramedRead};
+use std::io::Result;
+use tokio_util::codec::Decoder;
 
-const READ_BUFFER_BYTES: usize = 1024;
-/// Largest number of bytes that one read discards.
-const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
+/// Largest number of bytes that one read takes from the socket.
+const READ_BYTES: usize = 16 * 1024;
 
 /// How input is processed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,14 +49,19 @@
 
 /// Input of a session.
 pub(super) struct SessionInput {
-    records: FramedRead<RetryingReadHalf, RecordCodec>,
+    socket: RetryingReadHalf,
+    codec: RecordCodec,
+    /// Input that is not decoded yet.
+    buffer: BytesMut,
 }
 
 impl SessionInput {
     /// Creates the input of a new session.
     pub fn new(socket: RetryingReadHalf) -> Self {
         Self {
-            records: FramedRead::with_capacity(socket, RecordCodec, READ_BUFFER_BYTES),
+            socket,
+            codec: RecordCodec::default(),
+            buffer: BytesMut::new(),
         }
     }
 
@@ -67,33 +73,31 @@
                 Ok(0) | Err(_) => InputEvent::Disconnected,
             };
         }
-        // [`SessionInput::read_now`] may have added bytes to the buffer, which the stream decodes only after its next
-        // read.
-        match RecordCodec.decode(self.records.read_buffer_mut()) {
-            Ok(None) => {}
-            Ok(Some(record)) => return InputEvent::Record(record),
-            Err(error) => return InputEvent::Undecodable(error),
-        }
-        match self.records.next().await {
-            Some(Ok(record)) => InputEvent::Record(record),
-            Some(Err(RecordError::Io(error))) => {
-                tracing::debug!(%error, "reading from client connection failed");
-                InputEvent::Disconnected
+        loop {
+            match self.codec.decode(&mut self.buffer) {
+                Ok(None) => {}
+                Ok(Some(record)) => return InputEvent::Record(record),
+                Err(error) => return InputEvent::Undecodable(error),
+            }
+            match self.receive().await {
+                Ok(1..) => {}
+                Ok(0) => return InputEvent::Disconnected,
+                Err(error) => {
+                    tracing::debug!(%error, "reading from client connection failed");
+                    return InputEvent::Disconnected;
+                }
             }
-            Some(Err(error)) => InputEvent::Undecodable(error),
-            None => InputEvent::Disconnected,
         }
     }
 
     /// Reads the available input without waiting.
     pub fn read_now(&mut self, mode: InputMode) -> ImmediateInput {
-        let mut bytes = [0; READ_BUFFER_BYTES];
-        match self.records.get_ref().read_now(&mut bytes) {
+        let mut bytes = [0; READ_BYTES];
+        match self.socket.read_now(&mut bytes) {
             Ok(None) => ImmediateInput::Empty,
             Ok(Some(0)) | Err(_) => ImmediateInput::Disconnected,
             Ok(Some(read)) if mode == InputMode::Accepting => {
-                let buffer = self.records.read_buffer_mut();
-                buffer.extend_from_slice(&bytes[..read]);
+                self.buffer.extend_from_slice(&bytes[..read]);
                 ImmediateInput::Buffered
             }
             Ok(Some(_)) => ImmediateInput::Discarded,
@@ -102,7 +106,7 @@
 
     /// Closes the connection for writing. The client may still send.
     pub fn close_write_half(&self) {
-        let _ = self.records.get_ref().shutdown_write();
+        let _ = self.socket.shutdown_write();
     }
 
     /// Discards input until the client has closed the connection or has sent no input for [`TRANSIT_TIME`].
@@ -110,11 +114,31 @@
         while let Ok(Ok(1..)) = tokio::time::timeout(TRANSIT_TIME, self.discard()).await {}
     }
 
-    /// Reads and drops some bytes. Returns their number, which is 0 if the client has closed the connection. Cancel
-    /// safe.
-    async fn discard(&mut self) -> std::io::Result<usize> {
-        self.records.read_buffer_mut().clear();
-        let mut discarded = BytesMut::with_capacity(DISCARD_BUFFER_BYTES);
-        self.records.get_mut().read_buf(&mut discarded).await
+    /// Waits for input and adds it to the buffer. Returns the number of bytes, which is 0 if the client has closed the
+    /// connection. Cancel safe.
+    async fn receive(&mut self) -> Result<usize> {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        loop {
+            self.socket.readable().await?;
+            let mut bytes = [0; READ_BYTES];
+            if let Some(read) = self.socket.try_read(&mut bytes)? {
+                self.buffer.extend_from_slice(&bytes[..read]);
+                return Ok(read);
+            }
+        }
+    }
+
+    /// Waits for input and drops it. Returns the number of bytes, which is 0 if the client has closed the connection.
+    /// Cancel safe.
+    async fn discard(&mut self) -> Result<usize> {
+        self.buffer = BytesMut::new();
+        loop {
+            self.socket.readable().await?;
+            if let Some(read) = self.socket.try_read(&mut [0; READ_BYTES])? {
+                return Ok(read);
+            }
+        }
     }
 }
--- a/crates/platform/src/lifecycle.rs
+++ b/crates/platform/src/lifecycle.rs
@@ -249,8 +249,11 @@
             tracing::warn!(step_ms, "wall clock has been stepped since the start");
         }
         let pool = core.transport.counts();
+        let rejections = core.memory_rejections();
         tracing::info!(
             open_requests = core.open_requests(),
+            incomplete_rejected = rejections.incomplete,
+            over_budget = rejections.complete,
             buffered_bytes = core.meter.buffered_bytes(),
             connections = pool.connections,
             endpoints = pool.endpoints,
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -41,6 +41,10 @@
 /// Divisor of the memory limit that gives the memory for responses; the rest is for the program, its tables and
 /// buffers.
 const RESPONSE_MEMORY_DIVISOR: u64 = 4;
+/// Divisor of the memory limit that gives the memory for requests that are not complete.
+const INCOMPLETE_REQUEST_MEMORY_DIVISOR: u64 = 8;
+/// Divisor of the memory limit that gives the memory for the bodies of complete requests.
+const REQUEST_BODY_MEMORY_DIVISOR: u64 = 8;
 /// Divisor of the limit on endpoint connections that gives the limit for one endpoint.
 const ENDPOINT_SHARE_DIVISOR: usize = 4;
 
@@ -59,6 +63,10 @@
     pub max_connections: usize,
     /// Largest number of connections to one endpoint.
     pub max_connections_per_endpoint: usize,
+    /// Largest number of bytes that incomplete requests of clients occupy.
+    pub incomplete_request_bytes: usize,
+    /// Number of bytes in bodies of complete requests from which on new requests with a body are rejected.
+    pub request_body_bytes: u64,
     /// Seed of the random numbers.
     pub seed: u64,
 }
@@ -120,6 +128,7 @@
         // Clients of the platform use at most a third of the descriptors; the surplus is for new connections while
         // previous ones are being closed.
         let max_clients = limits.sockets * 2 / 5;
+        let memory_bytes = limits.memory_mb * BYTES_PER_MB;
         let max_connections = limits.sockets - max_clients - RESERVED_SOCKETS;
         Ok(Self {
             listen,
@@ -128,6 +137,8 @@
             kinds,
             max_connections,
             max_connections_per_endpoint: (max_connections / ENDPOINT_SHARE_DIVISOR).max(1),
+            incomplete_request_bytes: (memory_bytes / INCOMPLETE_REQUEST_MEMORY_DIVISOR) as usize,
+            request_body_bytes: memory_bytes / REQUEST_BODY_MEMORY_DIVISOR,
             seed: u64::from_str_radix(&start.seed, 16).unwrap_or_default(),
         })
     }
--- a/crates/transport/src/buffer_meter.rs
+++ b/crates/transport/src/buffer_meter.rs
@@ -1,6 +1,8 @@
 //! Counting of the body bytes that connections buffer, between the read from one peer and the write to the other.
+use bytes::Bytes;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use tokio::sync::Notify;
 
 /// A counter shared by several connections, with a threshold at which streams get reduced windows.
 ///
@@ -10,8 +12,16 @@
 /// streams.
 #[derive(Clone, Debug)]
 pub struct BufferMeter {
-    buffered_bytes: Arc<AtomicU64>,
+    buffered: Arc<Buffered>,
     threshold_bytes: u64,
+    max_bytes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Buffered {
+    bytes: AtomicU64,
+    /// Signals that the number of bytes has fallen below the limit.
+    below_limit: Notify,
 }
 
 impl Default for BufferMeter {
@@ -22,17 +32,24 @@
 }
 
 impl BufferMeter {
-    /// Creates a counter; streams get reduced windows while it is at or above `threshold_bytes`.
+    /// Creates a counter without a limit; streams get reduced windows while it is at or above `threshold_bytes`.
     pub fn new(threshold_bytes: u64) -> Self {
+        Self::with_limit(threshold_bytes, u64::MAX)
+    }
+
+    /// Creates a counter with a limit: while it is at or above `max_bytes`, connections that buffer complete bodies
+    /// start to read no further one.
+    pub fn with_limit(threshold_bytes: u64, max_bytes: u64) -> Self {
         Self {
-            buffered_bytes: Arc::default(),
+            buffered: Arc::default(),
             threshold_bytes,
+            max_bytes,
         }
     }
 
     /// Returns the number of bytes that are buffered now.
     pub fn buffered_bytes(&self) -> u64 {
-        self.buffered_bytes.load(Ordering::Relaxed)
+        self.buffered.bytes.load(Ordering::Relaxed)
     }
 
     /// Whether the threshold is reached.
@@ -40,15 +57,68 @@
         self.buffered_bytes() >= self.threshold_bytes
     }
 
+    /// Whether the limit is reached.
+    pub fn is_limit_reached(&self) -> bool {
+        self.buffered_bytes() >= self.max_bytes
+    }
+
+    /// Waits until the limit is not reached. Cancel safe.
+    pub async fn below_limit(&self) {
+        loop {
+            let below_limit = self.buffered.below_limit.notified();
+            tokio::pin!(below_limit);
+            // Registered before the check, so that no change is missed.
+            below_limit.as_mut().enable();
+            if !self.is_limit_reached() {
+                return;
+            }
+            below_limit.await;
+        }
+    }
+
     /// Adds newly buffered bytes.
     pub fn add(&self, bytes: usize) {
-        self.buffered_bytes
+        self.buffered
+            .bytes
             .fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
+    /// Counts a body until its last reference is dropped.
+    pub fn track(&self, body: Bytes) -> Bytes {
+        if body.is_empty() {
+            return body;
+        }
+        self.add(body.len());
+        Bytes::from_owner(TrackedBody {
+            body,
+            meter: self.clone(),
+        })
+    }
+
     /// Subtracts bytes that are no longer buffered.
     pub fn sub(&self, bytes: usize) {
-        self.buffered_bytes
-            .fetch_sub(bytes as u64, Ordering::Relaxed);
+        let bytes = bytes as u64;
+        let before = self.buffered.bytes.fetch_sub(bytes, Ordering::Relaxed);
+        if before >= self.max_bytes && before - bytes < self.max_bytes {
+            self.buffered.below_limit.notify_waiters();
+        }
+    }
+}
+
+/// A body that is counted on a meter.
+struct TrackedBody {
+    body: Bytes,
+    meter: BufferMeter,
+}
+
+impl AsRef<[u8]> for TrackedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.meter.sub(self.body.len());
     }
 }
--- a/crates/transport/src/retrying_io.rs
+++ b/crates/transport/src/retrying_io.rs
@@ -47,6 +47,24 @@
         }
     }
 
+    /// Waits until the socket may have bytes to read or has failed. Cancel safe.
+    pub async fn readable(&self) -> Result<()> {
+        self.half.readable().await
+    }
+
+    /// Reads without waiting. Returns `None` if no bytes are available, after which [`RetryingReadHalf::readable`] waits,
+    /// and zero if the peer has closed its direction.
+    pub fn try_read(&self, buffer: &mut [u8]) -> Result<Option<usize>> {
+        loop {
+            match self.half.try_read(buffer) {
+                Ok(read) => return Ok(Some(read)),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     /// Shuts the writing direction down, so that the peer sees the end of the stream at once.
     pub fn shutdown_write(&self) -> Result<()> {
         SockRef::from(self.half.as_ref()).shutdown(std::net::Shutdown::Write)
