Fail a keyed request that may have run instead of refusing it

Cause: client_may_repeat allowed a refusal for every class whose keys all endpoints discard, whatever the window, while may_retry beside it checked the window. All ends of a request take this path: a lost connection, an error after a run, the deadline, too many attempts, SIGTERM.

Ruled out: to refuse while the key is remembered when the retry can arrive. The retry reaches another dispatcher, which counts the window from its own first attempt and may send up to a deadline later.

Change: such a request fails, like one without a key; it is refused only if no attempt is in flight and none may have run.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod connection_reuse;
 mod discovery;
 mod graceful_shutdown;
+mod idempotency_keys;
 mod request_deadline;
 mod request_forwarding;
 mod request_memory;
--- a/crates/cli/tests/platform/support/manual_cache_host.rs
+++ b/crates/cli/tests/platform/support/manual_cache_host.rs
@@ -115,6 +115,13 @@
             .await;
     }
 
+    /// Closes the connection with a reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(self.socket.get_ref())
+            .set_linger(Some(Duration::ZERO))
+            .unwrap();
+    }
+
     /// Returns all that still arrives until the dispatcher closes the connection.
     pub async fn read_to_close(mut self) -> String {
         let mut bytes = Vec::new();
--- a/src/router/retry.rs
+++ b/src/router/retry.rs
@@ -49,16 +49,13 @@
     }
 }
 
-/// Whether the client may safely repeat a request that gets no response.
+/// Whether the client may safely repeat a request that gets no response, at any later time and through any router.
+///
+/// A request with an idempotency key that may have run is not safe to repeat: another router does not know when the
+/// window of the key began, and may send the repeat when the endpoints no longer discard it.
 pub(super) fn client_may_repeat(request: &OpenRequest, idempotency: Idempotency) -> bool {
-    match idempotency {
-        Idempotency::Idempotent
-        | Idempotency::WithKey {
-            scope: KeyScope::All,
-            ..
-        } => true,
-        _ => request.first_run.is_none() && request.in_flight.is_empty(),
-    }
+    idempotency == Idempotency::Idempotent
+        || (request.first_run.is_none() && request.in_flight.is_empty())
 }
 
 pub(super) fn client_retry_after(max_retry_after: Micros) -> Micros {
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -61,6 +61,60 @@
     ));
 }
 
+/// Guards against a rejection, which tells the client that a retry is harmless, after an attempt that may have run: the
+/// endpoints may have forgotten the key when the retry arrives.
+#[test]
+fn keyed_request_that_may_have_run_fails_whatever_ends_it() {
+    let ends: [(&str, Micros, fn(&mut RouterFixture, &SentAttempt)); 5] = [
+        ("connection lost after the window", 2_100 * MS, |f, sent| {
+            f.complete(sent, AttemptStatus::Reset, CacheStatus::Unreported);
+        }),
+        (
+            "connection lost within the window",
+            1_900 * MS,
+            |f, sent| {
+                f.complete(sent, AttemptStatus::Reset, CacheStatus::Unreported);
+            },
+        ),
+        ("error after a run", 2_100 * MS, |f, sent| {
+            f.complete(sent, AttemptStatus::Error, CacheStatus::Unreported);
+        }),
+        ("deadline", 3 * S, |f, sent| {
+            f.complete(sent, AttemptStatus::Timeout, CacheStatus::Unreported);
+        }),
+        (
+            "shutdown with the attempt in flight",
+            100 * MS,
+            |f, sent| {
+                f.handle(Event::FinishNow(sent.request));
+            },
+        ),
+    ];
+    for (name, after, end) in ends {
+        let mut fixture = RouterFixture::new();
+        let sent = fixture.request(KEYED, "a").remove(0);
+        fixture.now += after;
+        end(&mut fixture, &sent);
+        let responses = fixture.final_responses();
+        assert!(
+            matches!(responses[..], [Action::Fail { .. }]),
+            "{name}: {responses:?}"
+        );
+    }
+}
+
+#[test]
+fn keyed_request_that_did_not_run_is_rejected() {
+    let mut fixture = RouterFixture::new();
+    let sent = fixture.request(KEYED, "a").remove(0);
+    fixture.now += 2_990 * MS;
+    fixture.complete(&sent, AttemptStatus::Rejected, CacheStatus::Unreported);
+    assert!(matches!(
+        fixture.final_responses()[..],
+        [Action::Reject { .. }]
+    ));
+}
+
 #[test]
 fn not_idempotent_request_that_did_not_run_is_retried() {
     let mut fixture = RouterFixture::new();
