Remember the first run of each idempotency key across requests of a client

The dispatcher took it for a new key: it sent it after the window, when the origin no longer discards it, or refused it as harmless (no endpoint, memory, request budget, shutdown).

Change: the router records the first attempt of each key when it is sent and removes it when its outcome proves that it did not run; a new request with the key starts with that first run, so the window, the scope and the final response follow it. The three rejections before the router look there too.

The random-event test checks refusals of keyed classes as well.

--- a/benches/deploys.rs
+++ b/benches/deploys.rs
@@ -99,6 +99,7 @@
             group: 0,
             time_left: 3 * S,
             size_kb: Some(60.0),
+            idempotency_key: None,
         };
         self.router
             .handle(self.now, Event::Request(request), &mut self.actions);
--- a/crates/cli/tests/platform/idempotency_keys.rs
+++ b/crates/cli/tests/platform/idempotency_keys.rs
@@ -85,3 +85,21 @@
     };
     assert_eq!(response.status, 502, "{response:?}");
 }
+
+/// Guards against a second run of a key, and a refusal of it, when the client has gone and comes back after the window.
+#[tokio::test]
+async fn key_of_a_client_that_has_gone_is_neither_sent_again_nor_refused() {
+    let mut platform = KeyedPlatform::start().await;
+    let mut gone = FastCgiClient::connect(platform.dispatcher.address).await;
+    let connection = platform.submit(&mut gone).await;
+    platform.connections.push(connection);
+    gone.abort(1).await;
+    tokio::time::sleep(KEY_WINDOW).await;
+    let mut client = FastCgiClient::connect(platform.dispatcher.address).await;
+    platform.send_write(&mut client).await;
+    let response = tokio::select! {
+        response = client.response(1) => response,
+        (line, _) = platform.origin.next_cache_request(&mut platform.connections) => panic!("{line}"),
+    };
+    assert_eq!(response.status, 502, "{response:?}");
+}
--- a/crates/dispatcher/src/core/client_events.rs
+++ b/crates/dispatcher/src/core/client_events.rs
@@ -24,6 +24,7 @@
             group: client_request.group,
             time_left: client_request.time_left.saturating_sub(self.answer_slack),
             size_kb: client_request.size.map(kilobytes),
+            idempotency_key: client_request.idempotency_key,
         };
         self.purge_if_missed(now, request.group, outputs);
         if !self.wait_for_lease(now, &request, outputs) {
--- a/crates/dispatcher/src/core/input.rs
+++ b/crates/dispatcher/src/core/input.rs
@@ -1,6 +1,6 @@
 //! Events that the shell reports to the core.
 use crate::dispatcher_registry::Roster;
-use pointspindle::Micros;
+use pointspindle::{IdempotencyKey, Micros};
 use pointspindle_protocol::{
     EndpointListHead, HelloHead, LeaseHead, PurgeHead, WireCacheStatus, WireStatus,
 };
@@ -20,6 +20,8 @@
     pub time_left: Micros,
     /// Size of the response in bytes, if it is known in advance.
     pub size: Option<u64>,
+    /// Idempotency key, if the request has one.
+    pub idempotency_key: Option<IdempotencyKey>,
 }
 
 /// How an attempt ended, as observed by the shell.
--- a/crates/dispatcher/src/core/mod.rs
+++ b/crates/dispatcher/src/core/mod.rs
@@ -24,7 +24,7 @@
 use endpoint_list::EndpointList;
 use fleet::Fleet;
 use missed_updates::MissedUpdates;
-use pointspindle::{Action, Micros, Router};
+use pointspindle::{Action, IdempotencyKey, Micros, Router};
 use pointspindle_config::DispatcherSettings;
 use pointspindle_protocol::EndpointListHead;
 use purge_lease::PurgeLease;
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Whether an attempt of any request may have run this idempotency key. A request with the key must then not be rejected
+    /// as harmless to repeat.
+    pub fn may_have_run(&self, now: Micros, key: IdempotencyKey) -> bool {
+        self.router.may_have_run(now, key)
+    }
+
     /// Returns the time at which [`Input::Tick`] is needed next.
     pub fn next_timer(&self) -> Option<Micros> {
         self.timers.next()
--- a/crates/dispatcher/src/core/work_requests/tests.rs
+++ b/crates/dispatcher/src/core/work_requests/tests.rs
@@ -12,6 +12,7 @@
         group: 0,
         time_left: 1_000_000,
         size_kb: None,
+        idempotency_key: None,
     }
 }
 
--- a/crates/dispatcher/src/net/core_handle.rs
+++ b/crates/dispatcher/src/net/core_handle.rs
@@ -9,7 +9,7 @@
 };
 use crate::request_budget::{BudgetDecision, RequestBudget};
 use bytes::Bytes;
-use pointspindle::Micros;
+use pointspindle::{IdempotencyKey, Micros};
 use pointspindle_config::DispatcherSettings;
 use pointspindle_protocol::{EndpointListHead, HelloHead, PurgeHead, RequestHead};
 use pointspindle_transport::{BufferMeter, ResponsePart};
@@ -288,6 +288,14 @@
         }
     }
 
+    /// Whether an attempt of any request may have run the idempotency key of this one, so that it must not be rejected as
+    /// harmless to repeat.
+    pub fn may_have_run(&self, idempotency_key: Option<IdempotencyKey>) -> bool {
+        let state = self.lock();
+        let now = self.now();
+        idempotency_key.is_some_and(|key| state.core.may_have_run(now, key))
+    }
+
     /// Records that a request was rejected because of its memory, before it was complete.
     pub fn record_incomplete_rejection(&self) {
         self.metrics.incomplete_requests_rejected.inc();
--- a/crates/dispatcher/src/net/exchange/mod.rs
+++ b/crates/dispatcher/src/net/exchange/mod.rs
@@ -50,9 +50,14 @@
     let (id, commands) = match core.open_request(incoming.request.clone()) {
         Ok(open) => open,
         Err(retry_after) => {
-            reject_over_budget(core, client, retry_after).await;
             core.metrics.requests_over_budget.inc();
-            let outcome = RequestOutcome::Rejected;
+            let outcome = if core.may_have_run(incoming.request.idempotency_key) {
+                client.fail().await;
+                RequestOutcome::Failed
+            } else {
+                reject_over_budget(core, client, retry_after).await;
+                RequestOutcome::Rejected
+            };
             core.metrics
                 .request_ended(class, outcome, started_at.elapsed());
             return outcome;
--- a/crates/dispatcher/src/net/framed_frontend/request.rs
+++ b/crates/dispatcher/src/net/framed_frontend/request.rs
@@ -6,7 +6,7 @@
 use crate::client_pace::{ClientPace, PaceRule};
 use crate::core::ClientRequest;
 use bytes::Bytes;
-use pointspindle::Micros;
+use pointspindle::{IdempotencyKey, Micros};
 use pointspindle_config::ListenSettings;
 use pointspindle_protocol::{streams, ErrorHead, RequestHead, WireStatus};
 use pointspindle_transport::Responder;
@@ -79,6 +79,7 @@
         group: head.group,
         time_left,
         size: head.size,
+        idempotency_key: IdempotencyKey::from_text(&head.idempotency_key),
     }
 }
 
--- a/crates/dispatcher/src/net/http_frontend/request.rs
+++ b/crates/dispatcher/src/net/http_frontend/request.rs
@@ -27,6 +27,7 @@
         group,
         time_left,
         size: None,
+        idempotency_key: None,
     };
     let head_template = RequestHead {
         object,
--- a/crates/platform/src/frontend/request_task.rs
+++ b/crates/platform/src/frontend/request_task.rs
@@ -3,6 +3,7 @@
 use super::response_writer::Outgoing;
 use super::Frontend;
 use bytes::Bytes;
+use pointspindle::IdempotencyKey;
 use pointspindle_dispatcher::core;
 use pointspindle_dispatcher::net::exchange::{self, IncomingRequest, RequestOutcome};
 use pointspindle_platform_protocol::client_request::ClientRequest;
@@ -66,6 +67,7 @@
             group: request.group,
             time_left: request.timeout_ms * MICROS_PER_MILLI,
             size: None,
+            idempotency_key: IdempotencyKey::from_text(&request.idempotency_key),
         },
         head_template: RequestHead {
             object: request.object,
--- a/crates/platform/src/frontend/session.rs
+++ b/crates/platform/src/frontend/session.rs
@@ -25,6 +25,7 @@
 use super::Frontend;
 use crate::shutdown::ShutdownPhase;
 use bytes::Bytes;
+use pointspindle::IdempotencyKey;
 use pointspindle_dispatcher::net::connection_registry::ConnectionPermit;
 use pointspindle_platform_protocol::client_request::{
     self, ClientMessage, ClientRequest, ClientRequestError,
@@ -478,20 +479,26 @@
         self.send(Outgoing::empty_response(id, status));
     }
 
-    /// Rejects a complete request, which has reached neither the core nor an endpoint.
-    fn reject_for_lack_of_memory(&self, id: u16) {
-        let core = &self.frontend.core;
-        core.record_over_budget();
-        self.send(Outgoing::rejection(id, retry_after_lack_of_memory(core)));
+    /// Rejects a complete request, which has reached neither the core nor an endpoint. It fails if an earlier request may
+    /// have run its idempotency key, since a rejection says that a retry is harmless.
+    fn reject_unless_run(&self, id: u16, request: &ClientRequest, rejection: Outgoing) {
+        let key = IdempotencyKey::from_text(&request.idempotency_key);
+        match self.frontend.core.may_have_run(key) {
+            true => self.send(Outgoing::empty_response(id, HttpStatus::BadGateway)),
+            false => self.send(rejection),
+        }
     }
 
     fn begin_request(&mut self, id: u16, request: ClientRequest, body: Bytes) {
         if self.frontend.phase() > ShutdownPhase::Serving {
             // The client retries on another dispatcher, which has more time for the request.
-            return self.send(Outgoing::empty_response(id, HttpStatus::ServiceUnavailable));
+            let rejection = Outgoing::empty_response(id, HttpStatus::ServiceUnavailable);
+            return self.reject_unless_run(id, &request, rejection);
         }
         if !body.is_empty() && self.frontend.request_bodies.is_threshold_reached() {
-            return self.reject_for_lack_of_memory(id);
+            self.frontend.core.record_over_budget();
+            let retry_after = retry_after_lack_of_memory(&self.frontend.core);
+            return self.reject_unless_run(id, &request, Outgoing::rejection(id, retry_after));
         }
         let Some(transaction) = TransactionGuard::reserve(&self.frontend, &request.transaction_id)
         else {
--- a/crates/simulator/src/clients.rs
+++ b/crates/simulator/src/clients.rs
@@ -117,6 +117,7 @@
             group: call.group,
             time_left: self.class_of(id).deadline,
             size,
+            idempotency_key: None,
         };
         self.core_input(dispatcher, Input::Request(request, client_request));
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,5 +1,5 @@
 //! Events that a [`Router`](crate::Router) handles.
-use crate::ids::{EndpointId, Micros, ObjectId, RequestId};
+use crate::ids::{EndpointId, IdempotencyKey, Micros, ObjectId, RequestId};
 
 /// State of an endpoint as reported by the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
@@ -62,6 +62,8 @@
     pub time_left: Micros,
     /// Size of the response in KB, if known.
     pub size_kb: Option<f64>,
+    /// Idempotency key, if the request has one and the router is told.
+    pub idempotency_key: Option<IdempotencyKey>,
 }
 
 /// How an attempt ended.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -34,6 +34,17 @@
     }
 }
 
+/// Idempotency key of a request, the same for all requests with the same effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct IdempotencyKey(pub u64);
+
+impl IdempotencyKey {
+    /// Returns the key with this text, or `None` if the text is empty, which stands for no key.
+    pub fn from_text(text: &str) -> Option<Self> {
+        (!text.is_empty()).then(|| Self(stable_hash(text)))
+    }
+}
+
 /// Id of a client's request; never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct RequestId(pub u64);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,7 +46,7 @@
 //! router.handle(0, Event::EndpointList { update: ListUpdate::Full, entries }, &mut actions);
 //! router.handle(1_000, Event::Request(Request {
 //!     id: RequestId(7), class: 0, object: ObjectId::named("page"), part: 0, group: 3,
-//!     time_left: 2_500_000, size_kb: Some(300.0),
+//!     time_left: 2_500_000, size_kb: Some(300.0), idempotency_key: None,
 //! }), &mut actions);
 //! let sent = actions.iter().find_map(|action| match action {
 //!     Action::Send { endpoint, fetch: Some(fetch), .. } => Some((*endpoint, fetch.source)),
@@ -69,7 +69,7 @@
     AttemptOutcome, AttemptStatus, CacheStatus, EndpointEntry, EndpointState, Event, ListUpdate,
     Request,
 };
-pub use ids::{EndpointId, Micros, ObjectId, RequestId};
+pub use ids::{EndpointId, IdempotencyKey, Micros, ObjectId, RequestId};
 pub use router::Router;
 pub use settings::{
     CacheStatusDetail, FleetPosition, Idempotency, KeyScope, RequestClass, RouterSettings,
--- a/src/router/attempts.rs
+++ b/src/router/attempts.rs
@@ -5,7 +5,8 @@
 use super::{Choice, Route, Router, CHECK_INTERVAL};
 use crate::action::Action;
 use crate::event::Request;
-use crate::ids::{EndpointId, Micros, RequestId};
+use crate::ids::{EndpointId, IdempotencyKey, Micros, RequestId};
+use crate::settings::Idempotency;
 
 impl Router {
     pub(super) fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
@@ -21,7 +22,10 @@
             .learn_from_request(request.class, request.size_kb);
         let transfer_s = self.transfer_times.seconds(request.class, request.size_kb);
         self.recent_demand.record(priority_weight, transfer_s);
-        self.requests.insert(id, OpenRequest::new(now, request));
+        let key = request.idempotency_key;
+        let earlier_run = key.and_then(|key| self.recent_runs.get(now, key));
+        let open = OpenRequest::new(now, request, earlier_run);
+        self.requests.insert(id, open);
         self.proceed(now, id, actions);
     }
 
@@ -59,6 +63,11 @@
             .is_some_and(|request| !request.closed && self.may_retry(now, request))
     }
 
+    /// Whether an attempt of any request may have run this key, as far as this router knows.
+    pub fn may_have_run(&self, now: Micros, key: IdempotencyKey) -> bool {
+        self.recent_runs.get(now, key).is_some()
+    }
+
     fn may_retry(&self, now: Micros, request: &OpenRequest) -> bool {
         let idempotency = self.settings.classes[request.request.class].idempotency;
         may_retry(now, request.first_run, idempotency)
@@ -110,6 +119,7 @@
         let Some(attempt) = self.record_attempt(now, id, route.endpoint, plan) else {
             return;
         };
+        self.record_possible_run(id, &attempt);
         self.account_for_attempt(id, &attempt);
         actions.push(Action::Send {
             request: id,
@@ -141,6 +151,19 @@
         Some(attempt)
     }
 
+    /// Records that an attempt may run the idempotency key of its request, until its outcome proves that it did not.
+    fn record_possible_run(&mut self, id: RequestId, attempt: &Attempt) {
+        let Some(request) = self.requests.get(id).map(|open| &open.request) else {
+            return;
+        };
+        let idempotency = self.settings.classes[request.class].idempotency;
+        if let (Some(key), Idempotency::WithKey { window, .. }) =
+            (request.idempotency_key, idempotency)
+        {
+            self.recent_runs.record(key, attempt.as_run(), window);
+        }
+    }
+
     /// Adds an attempt to the load of its endpoint and of its source, and charges the warm-up budgets of both.
     fn account_for_attempt(&mut self, id: RequestId, attempt: &Attempt) {
         let Some(open) = self.requests.get(id) else {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -19,6 +19,7 @@
 mod priority;
 mod purge_log;
 mod random;
+mod recent_runs;
 mod requests;
 mod retry;
 mod roles;
@@ -38,6 +39,7 @@
 use priority::RecentDemand;
 use purge_log::PurgeLog;
 use random::Random;
+use recent_runs::RecentRuns;
 use requests::OpenRequests;
 use selection::{Choice, Route};
 use slow_start::{Lease, SlowStart};
@@ -61,6 +63,7 @@
     slow_start: SlowStart,
     endpoints: Endpoints,
     requests: OpenRequests,
+    recent_runs: RecentRuns,
     timer_is_set: bool,
     transfer_times: TransferTimes,
     /// Mean slowness of the caches of this zone.
@@ -81,6 +84,7 @@
             slow_start: SlowStart::new(&settings),
             endpoints: Endpoints::default(),
             requests: OpenRequests::default(),
+            recent_runs: RecentRuns::default(),
             timer_is_set: false,
             transfer_times: TransferTimes::new(&settings),
             zone_slowness: Slowness::default(),
--- a/src/router/outcome.rs
+++ b/src/router/outcome.rs
@@ -1,12 +1,13 @@
 //! Outcomes of attempts: updates the learned state and decides the next step of the request.
 use super::copy_locations::CopyKey;
 use super::latency::ResponseTiming;
-use super::requests::{Attempt, FirstRun, OpenRequest};
+use super::requests::{Attempt, OpenRequest};
 use super::retry::{is_rejected_too_often, rejection_backoff};
 use super::{Route, Router};
 use crate::action::Action;
 use crate::event::{AttemptOutcome, AttemptStatus, CacheStatus};
-use crate::ids::{EndpointId, Micros};
+use crate::ids::{EndpointId, IdempotencyKey, Micros};
+use crate::settings::Idempotency;
 
 /// Where the fault of a failed attempt lies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +25,7 @@
     pub(super) attempt: Attempt,
     pub(super) outcome: AttemptOutcome,
     class: usize,
+    idempotency_key: Option<IdempotencyKey>,
     copy: CopyKey,
     request_size_kb: Option<f64>,
     request_closed: bool,
@@ -36,6 +38,7 @@
         let attempt = request.take_attempt(outcome.attempt)?;
         let ended = Self {
             class: request.request.class,
+            idempotency_key: request.request.idempotency_key,
             copy: CopyKey::of(&request.request),
             request_size_kb: request.request.size_kb,
             request_closed: request.closed || outcome.request_closed,
@@ -43,10 +46,7 @@
             outcome,
         };
         if ended.may_have_run() && request.first_run.is_none() {
-            request.first_run = Some(FirstRun {
-                sent_at: ended.attempt.sent_at,
-                endpoint: ended.attempt.endpoint,
-            });
+            request.first_run = Some(ended.attempt.as_run());
         }
         request.rejections += u32::from(ended.lacked_capacity());
         request.avoid_origin |= ended.outcome.cache_status == CacheStatus::OriginFailed;
@@ -103,6 +103,7 @@
             transfer_s: self.transfer_times.seconds(ended.class, size_kb),
             size_known: size_kb.is_some(),
         };
+        self.update_recent_runs(&ended);
         self.release_load(&ended);
         if ended.outcome.status == AttemptStatus::Ok {
             self.learn_from_response(&ended, timing);
@@ -112,6 +113,21 @@
         self.follow_up(now, &ended, fault, actions);
     }
 
+    /// Records whether the attempt may have run the idempotency key of its request.
+    fn update_recent_runs(&mut self, ended: &EndedAttempt) {
+        let idempotency = self.settings.classes[ended.class].idempotency;
+        let (Some(key), Idempotency::WithKey { window, .. }) = (ended.idempotency_key, idempotency)
+        else {
+            return;
+        };
+        let run = ended.attempt.as_run();
+        if ended.may_have_run() {
+            self.recent_runs.record(key, run, window);
+        } else {
+            self.recent_runs.retract(key, run);
+        }
+    }
+
     /// Removes the attempt from the load of its endpoint and source, and refunds warm-up work that was not done.
     fn release_load(&mut self, ended: &EndedAttempt) {
         let attempt = &ended.attempt;
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -23,6 +23,14 @@
         self.source.upstream_of(self.endpoint)
     }
 
+    /// Returns the attempt as one that may have run.
+    pub(super) fn as_run(&self) -> FirstRun {
+        FirstRun {
+            sent_at: self.sent_at,
+            endpoint: self.endpoint,
+        }
+    }
+
     /// Whether the attempt is answered from cached copies only, within the stale-if-error time.
     pub(super) fn is_cached_only(&self) -> bool {
         self.source == FillSource::CachedOnly
@@ -30,7 +38,7 @@
 }
 
 /// The first attempt of a request that may have been executed.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct FirstRun {
     pub(super) sent_at: Micros,
     pub(super) endpoint: EndpointId,
@@ -61,10 +69,12 @@
 }
 
 impl OpenRequest {
-    pub(super) fn new(now: Micros, request: Request) -> Self {
+    /// Creates a request that arrives now. `earlier_run` is an attempt of an earlier request that may have run its key.
+    pub(super) fn new(now: Micros, request: Request, earlier_run: Option<FirstRun>) -> Self {
         Self {
             deadline: now + request.time_left,
             request,
+            first_run: earlier_run,
             ..Self::default()
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -177,6 +177,9 @@
         self.handle(Event::Timer(0))
     }
     pub fn request(&mut self, class: usize, object: &str) -> Vec<SentAttempt> {
+        self.request_with_key(class, object, "")
+    }
+    pub fn request_with_key(&mut self, class: usize, object: &str, key: &str) -> Vec<SentAttempt> {
         self.last_request += 1;
         self.handle(Event::Request(Request {
             id: RequestId(self.last_request),
@@ -186,6 +189,7 @@
             group: 5,
             time_left: 3 * S,
             size_kb: Some(300.0),
+            idempotency_key: IdempotencyKey::from_text(key),
         }))
     }
     pub fn complete(
--- a/tests/concurrency_limit.rs
+++ b/tests/concurrency_limit.rs
@@ -124,6 +124,7 @@
                 group: 5,
                 time_left: left,
                 size_kb: None,
+                idempotency_key: None,
             }))
         };
         for i in 0..200 {
--- a/tests/random_events.rs
+++ b/tests/random_events.rs
@@ -249,6 +249,7 @@
             group: self.random.below(3),
             time_left,
             size_kb,
+            idempotency_key: None,
         })
     }
 
@@ -336,7 +337,8 @@
             !request.finished,
             "seed {seed}: {id:?} got a second final response"
         );
-        assert!(!(rejected && request.may_have_run && request.class == common::UNSAFE));
+        let promises_no_effect = [common::KEYED, common::UNSAFE].contains(&request.class);
+        assert!(!(rejected && request.may_have_run && promises_no_effect));
         request.finished = true;
     }
 
--- a/tests/restart_detection.rs
+++ b/tests/restart_detection.rs
@@ -59,6 +59,7 @@
             group: 5,
             time_left: 3 * S,
             size_kb: Some(12_000.0),
+            idempotency_key: None,
         }))
     };
     let mut sent = Vec::new();
--- a/tests/retention.rs
+++ b/tests/retention.rs
@@ -95,6 +95,7 @@
         group: 0,
         time_left: 500 * S,
         size_kb: None,
+        idempotency_key: None,
     }));
     let first = sent[0].clone();
     let departed = |n: &str| EndpointEntry {
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -61,11 +61,14 @@
     ));
 }
 
+/// How the attempt of a request, or the request itself, ends.
+type RequestEnd = fn(&mut RouterFixture, &SentAttempt);
+
 /// Guards against a rejection, which tells the client that a retry is harmless, after an attempt that may have run: the
 /// endpoints may have forgotten the key when the retry arrives.
 #[test]
 fn keyed_request_that_may_have_run_fails_whatever_ends_it() {
-    let ends: [(&str, Micros, fn(&mut RouterFixture, &SentAttempt)); 5] = [
+    let ends: [(&str, Micros, RequestEnd); 5] = [
         ("connection lost after the window", 2_100 * MS, |f, sent| {
             f.complete(sent, AttemptStatus::Reset, CacheStatus::Unreported);
         }),
@@ -103,6 +106,36 @@
     }
 }
 
+/// Guards against a second run of a key that the client sends again in a new request, after it gave up the first one.
+#[test]
+fn key_that_may_have_run_is_not_sent_again_after_its_window() {
+    for (after, attempts) in [(1_700 * MS, 1), (1_900 * MS, 0), (8 * S, 0)] {
+        let mut fixture = RouterFixture::new();
+        let first = fixture.request_with_key(KEYED, "a", "key").remove(0);
+        fixture.handle(Event::ClientDisconnected(first.request));
+        fixture.now += after;
+        let again = fixture.request_with_key(KEYED, "a", "key");
+        assert_eq!(again.len(), attempts, "{after} us after the first run");
+        let fails = matches!(fixture.final_responses()[..], [Action::Fail { .. }]);
+        assert_eq!(fails, attempts == 0, "{after} us after the first run");
+        assert_eq!(fixture.request_with_key(KEYED, "a", "other").len(), 1);
+    }
+}
+
+/// A key whose only attempt did not run is free again, and one that is long past is forgotten.
+#[test]
+fn key_that_did_not_run_or_is_long_past_is_sent() {
+    let mut fixture = RouterFixture::new();
+    let first = fixture.request_with_key(KEYED, "a", "key").remove(0);
+    fixture.handle(Event::ClientDisconnected(first.request));
+    fixture.complete(&first, AttemptStatus::NotSent, CacheStatus::Unreported);
+    fixture.now += 3 * S;
+    let second = fixture.request_with_key(KEYED, "a", "key").remove(0);
+    fixture.complete(&second, AttemptStatus::Ok, CacheStatus::Unreported);
+    fixture.now += 13 * S;
+    assert_eq!(fixture.request_with_key(KEYED, "a", "key").len(), 1);
+}
+
 #[test]
 fn keyed_request_that_did_not_run_is_rejected() {
     let mut fixture = RouterFixture::new();
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -181,6 +181,7 @@
                 group: 5,
                 time_left: 3 * S,
                 size_kb: None,
+                idempotency_key: None,
             }));
             fixture.complete_after(&sent[0], AttemptStatus::Ok, CacheStatus::Hit, MS);
         }
--- a/wirehost/src/translate.rs
+++ b/wirehost/src/translate.rs
@@ -58,6 +58,7 @@
         group: r.set_no.unwrap_or_default() as u64,
         time_left: micros_or_zero(r.expires_in_ms),
         size_kb: r.kbytes.filter(|kb| *kb > 0.0),
+        idempotency_key: None,
     })
 }
 
