Time out and count each client request by itself on a shared connection

Cause: the time-out for a complete request belonged to the connection and ran as long as any request was incomplete, so requests that overlap timed out together; each counted as invalid for the life of the connection; after eight, requests that became complete were dropped without an answer.

Change: each request has its own time-out from its begin record; one that exceeds it costs only itself and counts as invalid only before the first valid request; valid requests make up for invalid ones; past the limit each complete request gets a 503 and the connection closes when nothing is owed. Related: bytes on their way for requests that were answered early have an allowance, complete requests restore the budget of discarded bytes, and records that belong to no open request count on it, so that such floods end.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod request_memory;
 mod resource_limits;
 mod scaling;
+mod shared_connections;
 mod shutdown_under_load;
 mod soak;
 mod startup;
--- a/crates/platform-protocol/src/lib.rs
+++ b/crates/platform-protocol/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod chunked_buffer;
 pub mod client_request;
+mod discard_budget;
 pub mod discovery;
 pub mod fastcgi;
 pub mod line_protocol;
--- a/crates/platform-protocol/src/request_assembly.rs
+++ b/crates/platform-protocol/src/request_assembly.rs
@@ -4,9 +4,11 @@
 //! far; the sizes of both are limited. A protocol violation ends the session. An invalid request does not: it is
 //! reported, and its further records are discarded, up to a limit in bytes.
 use crate::chunked_buffer::ChunkedBuffer;
+use crate::discard_budget::{DiscardBudget, MAX_DISCARDED_BYTES};
 use crate::fastcgi::*;
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 /// Largest number of open requests on one connection, as the platform defines it.
 pub const MAX_OPEN_REQUESTS: usize = 32;
@@ -14,8 +16,8 @@
 const MAX_PARAMS_BYTES: usize = 8 * 1024;
 /// Largest size of the body of a write, as the platform defines it.
 pub const MAX_BODY_BYTES: usize = 48_000;
-/// Largest number of bytes that are discarded over the life of a connection.
-const MAX_DISCARDED_BYTES: usize = 256 * 1024;
+/// Largest number of bytes of a request that may still arrive after it has ended.
+const MAX_REQUEST_BYTES: usize = MAX_PARAMS_BYTES + MAX_BODY_BYTES;
 /// Length of the content of a begin record.
 const BEGIN_BODY_BYTES: usize = 8;
 
@@ -113,6 +115,7 @@
 struct OpenRequest {
     state: AssemblyState,
     keep_alive: bool,
+    begun_at: Instant,
 }
 
 impl OpenRequest {
@@ -168,7 +171,7 @@
 #[derive(Debug, Default)]
 pub struct RequestAssembler {
     open: BTreeMap<u16, OpenRequest>,
-    discarded_bytes: usize,
+    discard_budget: DiscardBudget,
 }
 
 impl RequestAssembler {
@@ -198,25 +201,50 @@
         let (id, _) = allocated
             .filter(|(_, bytes)| *bytes > 0)
             .max_by_key(|(_, bytes)| *bytes)?;
-        self.finish(id);
+        self.drop_unfinished(id);
         Some(id)
     }
 
+    /// Returns the time at which the oldest of the requests that are not complete began.
+    pub fn oldest_incomplete_begun_at(&self) -> Option<Instant> {
+        let incomplete = self.open.values().filter(|r| !r.is_complete());
+        incomplete.map(|r| r.begun_at).min()
+    }
+
     /// Drops the requests that are not complete and returns their ids. Their further records are discarded.
     pub fn drop_incomplete(&mut self) -> Vec<u16> {
-        let incomplete = self.open.iter().filter(|(_, r)| !r.is_complete());
-        let ids: Vec<u16> = incomplete.map(|(id, _)| *id).collect();
-        ids.iter().for_each(|id| self.finish(*id));
+        self.drop_incomplete_where(|_| true)
+    }
+
+    /// Drops the requests that are not complete and began at this time or earlier, and returns their ids. Their further
+    /// records are discarded.
+    pub fn drop_incomplete_begun_by(&mut self, time: Instant) -> Vec<u16> {
+        self.drop_incomplete_where(|request| request.begun_at <= time)
+    }
+
+    fn drop_incomplete_where(&mut self, is_dropped: impl Fn(&OpenRequest) -> bool) -> Vec<u16> {
+        let dropped = self
+            .open
+            .iter()
+            .filter(|(_, r)| !r.is_complete() && is_dropped(r));
+        let ids: Vec<u16> = dropped.map(|(id, _)| *id).collect();
+        ids.iter().for_each(|id| self.drop_unfinished(*id));
         ids
     }
 
+    /// Removes a request of which further records may arrive.
+    fn drop_unfinished(&mut self, id: u16) {
+        self.finish(id);
+        self.discard_budget.allow(id, MAX_REQUEST_BYTES);
+    }
+
     /// Removes a request: its response has been written, or none will be.
     pub fn finish(&mut self, id: u16) {
         self.open.remove(&id);
     }
 
-    /// Handles the next record of the connection.
-    pub fn handle(&mut self, record: Record) -> Result<RecordOutcome, SessionError> {
+    /// Handles the next record of the connection, which arrived at `now`.
+    pub fn handle(&mut self, record: Record, now: Instant) -> Result<RecordOutcome, SessionError> {
         let Record {
             record_type,
             id,
@@ -224,44 +252,56 @@
             received_bytes,
         } = record;
         match record_type {
-            BEGIN_REQUEST => self.begin(id, &content),
-            ABORT_REQUEST => Ok(self.abort(id)),
+            BEGIN_REQUEST => self.begin(id, &content, now),
+            ABORT_REQUEST => self.abort(id),
             PARAMS | STDIN => self.add(record_type, id, &content),
-            GET_VALUES => Ok(RecordOutcome::Reply(values_reply(&content))),
+            GET_VALUES => {
+                self.discard(id, received_bytes)?;
+                Ok(RecordOutcome::Reply(values_reply(&content)))
+            }
             other => {
-                self.discard(received_bytes)?;
+                self.discard(id, received_bytes)?;
                 Ok(RecordOutcome::Reply(unknown_type_reply(other)))
             }
         }
     }
 
-    fn abort(&mut self, id: u16) -> RecordOutcome {
+    fn abort(&mut self, id: u16) -> Result<RecordOutcome, SessionError> {
         let Some(request) = self.open.get(&id) else {
-            return RecordOutcome::Pending;
+            self.discard(id, 0)?;
+            return Ok(RecordOutcome::Pending);
         };
         let was_complete = request.is_complete();
         if !was_complete {
             self.finish(id);
         }
-        RecordOutcome::Aborted { id, was_complete }
+        Ok(RecordOutcome::Aborted { id, was_complete })
     }
 
-    fn begin(&mut self, id: u16, content: &[u8]) -> Result<RecordOutcome, SessionError> {
+    fn begin(
+        &mut self,
+        id: u16,
+        content: &[u8],
+        now: Instant,
+    ) -> Result<RecordOutcome, SessionError> {
         if id == 0 || content.len() < BEGIN_BODY_BYTES {
             return Err(SessionError::MalformedBegin);
         }
         if self.open.contains_key(&id) {
             return Err(SessionError::DuplicateId);
         }
+        self.discard_budget.forget(id);
         if u16::from_be_bytes([content[0], content[1]]) != RESPONDER {
             return Ok(RecordOutcome::UnknownRole { id });
         }
         if self.open.len() >= MAX_OPEN_REQUESTS {
+            self.discard(id, content.len())?;
             return Ok(RecordOutcome::TooManyOpen { id });
         }
         let request = OpenRequest {
             state: AssemblyState::ReadingParams(ChunkedBuffer::default()),
             keep_alive: content[2] & KEEP_CONN != 0,
+            begun_at: now,
         };
         self.open.insert(id, request);
         Ok(RecordOutcome::Pending)
@@ -270,24 +310,31 @@
     fn add(&mut self, kind: u8, id: u16, content: &Bytes) -> Result<RecordOutcome, SessionError> {
         if let Some(request) = self.open.get_mut(&id) {
             match request.add(id, kind, content) {
-                Ok(Some(outcome)) => return Ok(outcome),
+                Ok(Some(outcome)) => {
+                    if matches!(outcome, RecordOutcome::Complete { .. }) {
+                        self.discard_budget.restore();
+                    }
+                    return Ok(outcome);
+                }
                 Ok(None) => {}
                 Err(reason) => {
-                    self.finish(id);
+                    self.drop_unfinished(id);
                     return Ok(RecordOutcome::Invalid { id, reason });
                 }
             }
         }
-        self.discard(content.len())?;
+        self.discard(id, content.len())?;
+        if kind == STDIN && content.is_empty() {
+            self.discard_budget.forget(id);
+        }
         Ok(RecordOutcome::Pending)
     }
 
-    fn discard(&mut self, content_bytes: usize) -> Result<(), SessionError> {
-        self.discarded_bytes += content_bytes + HEADER_BYTES;
-        if self.discarded_bytes > MAX_DISCARDED_BYTES {
-            return Err(SessionError::TooMuchDiscarded);
+    fn discard(&mut self, id: u16, content_bytes: usize) -> Result<(), SessionError> {
+        match self.discard_budget.discard(id, content_bytes) {
+            true => Ok(()),
+            false => Err(SessionError::TooMuchDiscarded),
         }
-        Ok(())
     }
 }
 
--- a/crates/platform-protocol/tests/fastcgi.rs
+++ b/crates/platform-protocol/tests/fastcgi.rs
@@ -8,6 +8,7 @@
 use pointspindle_platform_protocol::request_assembly::{
     RecordOutcome, RequestAssembler, SessionError, MAX_BODY_BYTES, MAX_OPEN_REQUESTS,
 };
+use std::time::{Duration, Instant};
 use tokio_util::codec::Decoder;
 
 const BEGIN: [u8; 8] = [0, 1, KEEP_CONN, 0, 0, 0, 0, 0];
@@ -49,7 +50,8 @@
     for piece in pieces {
         buffer.extend_from_slice(piece);
         while let Some(record) = codec.decode(&mut buffer).map_err(|e| e.to_string())? {
-            outcomes.push(assembler.handle(record).map_err(|e| e.to_string())?);
+            let outcome = assembler.handle(record, Instant::now());
+            outcomes.push(outcome.map_err(|e| e.to_string())?);
         }
     }
     outcomes.retain(|outcome| *outcome != RecordOutcome::Pending);
@@ -145,6 +147,83 @@
     assert_eq!(assembler.open_count(), 0);
 }
 
+/// Guards against a connection that is closed because records of requests that were ended early are still on their way:
+/// other clients may share it.
+#[test]
+fn records_of_dropped_requests_do_not_end_the_session() {
+    let mut assembler = RequestAssembler::default();
+    for id in 1..=MAX_OPEN_REQUESTS as u16 {
+        feed(&mut assembler, [&unfinished_request(id, &[], b"start")[..]]).unwrap();
+    }
+    assert_eq!(assembler.drop_incomplete().len(), MAX_OPEN_REQUESTS);
+    let mut rest = BytesMut::new();
+    for id in 1..=MAX_OPEN_REQUESTS as u16 {
+        write_record(&mut rest, STDIN, id, &[0; MAX_BODY_BYTES - 5]);
+        write_record(&mut rest, STDIN, id, &[]);
+    }
+    assert_eq!(feed(&mut assembler, [&rest[..]]).unwrap(), []);
+    // The allowance ends with the stream: more records of the same request count.
+    let mut endless = BytesMut::new();
+    (0..10).for_each(|_| write_record(&mut endless, STDIN, 1, &[0; MAX_BODY_BYTES]));
+    assert_eq!(
+        feed(&mut assembler, [&endless[..]]).unwrap_err(),
+        SessionError::TooMuchDiscarded.to_string()
+    );
+}
+
+/// Guards against floods of records that belong to no request and that nothing ends, and against a connection with many
+/// clients that ends because a few such records come with each request.
+#[test]
+fn records_of_no_request_end_the_session_unless_complete_requests_prevail() {
+    const RECORDS: usize = 40_000;
+    let begin_beyond_limit = |out: &mut BytesMut| write_record(out, BEGIN_REQUEST, 99, &BEGIN);
+    let floods: [&dyn Fn(&mut BytesMut); 3] = [
+        &|out| write_record(out, ABORT_REQUEST, 99, &[]),
+        &|out| write_record(out, GET_VALUES, 0, &[]),
+        &begin_beyond_limit,
+    ];
+    for write_flood_record in floods {
+        let mut assembler = RequestAssembler::default();
+        for id in 1..=MAX_OPEN_REQUESTS as u16 {
+            feed(&mut assembler, [&complete_request(id, &[], b"")[..]]).unwrap();
+        }
+        let mut flood = BytesMut::new();
+        (0..RECORDS).for_each(|_| write_flood_record(&mut flood));
+        assert_eq!(
+            feed(&mut assembler, [&flood[..]]).unwrap_err(),
+            SessionError::TooMuchDiscarded.to_string()
+        );
+    }
+    let mut assembler = RequestAssembler::default();
+    for _ in 0..RECORDS {
+        let mut bytes = complete_request(1, &[], b"");
+        write_record(&mut bytes, ABORT_REQUEST, 2, &[]);
+        feed(&mut assembler, [&bytes[..]]).unwrap();
+        assembler.finish(1);
+    }
+}
+
+/// Guards against one time-out for all requests of a connection: only those that began too long ago are dropped.
+#[test]
+fn incomplete_requests_are_dropped_by_their_own_age() {
+    let mut assembler = RequestAssembler::default();
+    let started_at = Instant::now();
+    for (id, age_ms) in [(1, 0), (2, 500), (3, 900)] {
+        let begun_at = started_at + Duration::from_millis(age_ms);
+        let record = Record {
+            record_type: BEGIN_REQUEST,
+            id,
+            content: Bytes::from_static(&BEGIN),
+            received_bytes: BEGIN.len(),
+        };
+        assembler.handle(record, begun_at).unwrap();
+    }
+    assert_eq!(assembler.oldest_incomplete_begun_at(), Some(started_at));
+    let by = started_at + Duration::from_millis(500);
+    assert_eq!(assembler.drop_incomplete_begun_by(by), [1, 2]);
+    assert_eq!(assembler.incomplete_count(), 1);
+}
+
 #[test]
 fn request_assembler_at_open_limit_rejects_until_one_finishes() {
     let mut assembler = RequestAssembler::default();
--- a/crates/platform/src/frontend/session.rs
+++ b/crates/platform/src/frontend/session.rs
@@ -1,15 +1,16 @@
 //! A FastCGI session: one client connection with a reader, a writer, and a task for each request.
 //!
 //! A request is open on its session until its response is written, so the limit on open requests also limits what is
-//! buffered for a client that does not read. If a client sends no complete request in time, its connection is closed,
-//! or, while complete requests are open, only the incomplete ones are rejected. Each invalid request gets an error
-//! response, up to a limit.
+//! buffered for a client that does not read. A connection may be a web server's, with many clients behind it, so what one
+//! request does costs only that request: each has its own time to become complete, and one that exceeds it gets an error
+//! response, like an invalid one. Valid requests make up for invalid ones; only if these prevail, the connection is closed.
+//! A new connection is closed if its first request is not complete in time.
 //!
 //! A session ends for one of these reasons:
 //! - The client closes the connection: all its requests are cancelled.
-//! - The input cannot be decoded, the protocol is violated, or too many requests were invalid: no further request is
-//!   accepted. The requests that were complete before are served, unless the client closes the connection, and the
-//!   connection closes after the last response.
+//! - The input cannot be decoded, or the protocol is violated: no further request is read. The requests that were complete
+//!   before are served, unless the client closes the connection, and the connection closes after the last response.
+//! - Too many requests were invalid: further requests are rejected, and the connection closes after the last response.
 //! - A request without keep-alive was received, or the dispatcher is shutting down: the connection closes after the
 //!   last response.
 //! - The connection is evicted for a new one or is idle for too long: it closes when no request is open.
@@ -45,7 +46,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::Instrument;
 
-/// Number of invalid requests after which a session is closed.
+/// Number by which invalid requests may exceed valid ones before a session is closed.
 const MAX_INVALID_REQUESTS: usize = 8;
 /// Number of unwritten responses beyond which a client that does not read is disconnected.
 const MAX_UNWRITTEN_RESPONSES: usize = 256;
@@ -180,7 +181,10 @@
     cancelled: CancellationToken,
     /// Cancellation tokens of the requests in flight, by request id.
     in_flight: HashMap<u16, CancellationToken>,
+    /// Number of invalid requests, less those that valid ones have made up for.
     invalid_requests: usize,
+    /// Whether a valid request was received.
+    has_received_valid_request: bool,
     /// Whether the client has sent a complete request, or must not be timed out for not having sent one.
     has_received_request: bool,
     mode: InputMode,
@@ -211,6 +215,7 @@
             cancelled: CancellationToken::new(),
             in_flight: HashMap::new(),
             invalid_requests: 0,
+            has_received_valid_request: false,
             has_received_request: false,
             mode: InputMode::Accepting,
             is_finishing: false,
@@ -263,13 +268,15 @@
     }
 
     fn plan(&mut self) -> WaitPlan {
-        let (open, incomplete) = {
-            let requests = self.requests.lock();
-            (requests.open_count(), requests.incomplete_count())
-        };
+        let requests = self.requests.lock();
+        let open = requests.open_count();
+        let incomplete = requests.incomplete_count();
+        let oldest_incomplete_begun_at = requests.oldest_incomplete_begun_at();
+        drop(requests);
         self.deadlines.plan(SessionStatus {
             open,
             incomplete,
+            oldest_incomplete_begun_at: oldest_incomplete_begun_at.map(Instant::from_std),
             has_received_request: self.has_received_request,
             is_finishing: self.is_finishing,
             mode: self.mode,
@@ -306,7 +313,7 @@
                 self.is_finishing = true;
                 self.has_received_request = true;
             }
-            SessionEvent::IncompleteTimeout if plan.no_response_pending => {
+            SessionEvent::IncompleteTimeout if !plan.has_open_requests => {
                 return self.end_wait(WaitEnd::Close, input)
             }
             SessionEvent::IncompleteTimeout => {
@@ -367,10 +374,23 @@
         }
     }
 
+    /// Rejects the requests that were not complete in time. If no request of the session was complete before, the session
+    /// ends with them.
     fn time_out_incomplete(&mut self) {
-        let incomplete = self.requests.lock().drop_incomplete();
-        for id in incomplete {
-            self.reject_invalid(id, RejectReason::IncompleteTimeout);
+        let timed_out = if self.has_received_request {
+            let overdue = Instant::now().checked_sub(self.deadlines.head_timeout());
+            let overdue = overdue.map(Instant::into_std);
+            overdue.map(|by| self.requests.lock().drop_incomplete_begun_by(by))
+        } else {
+            self.is_finishing = true;
+            Some(self.requests.lock().drop_incomplete())
+        };
+        for id in timed_out.into_iter().flatten() {
+            if self.has_received_valid_request {
+                self.respond_invalid(id, RejectReason::IncompleteTimeout);
+            } else {
+                self.reject_invalid(id, RejectReason::IncompleteTimeout);
+            }
         }
     }
 
@@ -380,12 +400,10 @@
 
     fn handle_record(&mut self, record: Record) {
         let unread_time = self.frontend.pause_detector.unread_time(Instant::now());
-        let outcome = self.requests.lock().handle(record);
+        let now = Instant::now().into_std();
+        let outcome = self.requests.lock().handle(record, now);
         match outcome {
-            Ok(outcome) if self.mode == InputMode::Accepting => {
-                self.handle_outcome(outcome, unread_time);
-            }
-            Ok(outcome) => self.handle_cancellation_only(outcome),
+            Ok(outcome) => self.handle_outcome(outcome, unread_time),
             Err(error) => self.stop_decoding(error.into()),
         }
     }
@@ -417,19 +435,6 @@
         }
     }
 
-    /// Handles the outcome of a record if it is a cancellation, and otherwise ignores it.
-    fn handle_cancellation_only(&mut self, outcome: RecordOutcome) {
-        match outcome {
-            RecordOutcome::Aborted { id, was_complete } => self.abort(id, was_complete),
-            RecordOutcome::Complete { id, .. } => self.requests.lock().finish(id),
-            RecordOutcome::Pending
-            | RecordOutcome::Reply(_)
-            | RecordOutcome::Invalid { .. }
-            | RecordOutcome::TooManyOpen { .. }
-            | RecordOutcome::UnknownRole { .. } => {}
-        }
-    }
-
     fn abort(&mut self, id: u16, was_complete: bool) {
         if !was_complete {
             self.send(Outgoing::end_request(id, ProtocolStatus::Complete));
@@ -438,19 +443,35 @@
         }
     }
 
+    /// Rejects a request and counts it as invalid.
     fn reject_invalid(&mut self, id: u16, reason: RejectReason) {
+        self.respond_invalid(id, reason);
+        self.count_invalid();
+    }
+
+    fn respond_invalid(&mut self, id: u16, reason: RejectReason) {
         tracing::debug!(%reason, "client request rejected");
         self.has_received_request = true;
         self.send(Outgoing::empty_response(id, HttpStatus::BadRequest));
-        self.count_invalid();
     }
 
-    /// Counts an invalid request. After [`MAX_INVALID_REQUESTS`], the session is closed once the valid ones are served.
+    /// Counts an invalid request. At [`MAX_INVALID_REQUESTS`], the session is closed once the valid ones are served, and
+    /// requests that become complete until then are rejected.
     fn count_invalid(&mut self) {
         self.invalid_requests += 1;
-        if self.invalid_requests >= MAX_INVALID_REQUESTS {
+        if self.invalid_requests == MAX_INVALID_REQUESTS {
             self.is_finishing = true;
-            self.mode = InputMode::CancellationsOnly;
+            self.mode = InputMode::Rejecting;
+            self.reject_incomplete();
+        }
+    }
+
+    /// Counts a valid request, which makes up for an invalid one.
+    fn count_valid(&mut self) {
+        self.has_received_valid_request = true;
+        self.account.mark_established();
+        if self.mode == InputMode::Accepting {
+            self.invalid_requests = self.invalid_requests.saturating_sub(1);
         }
     }
 
@@ -490,7 +511,8 @@
     }
 
     fn begin_request(&mut self, id: u16, request: ClientRequest, body: Bytes) {
-        if self.frontend.phase() > ShutdownPhase::Serving {
+        self.count_valid();
+        if self.frontend.phase() > ShutdownPhase::Serving || self.mode == InputMode::Rejecting {
             // The client retries on another dispatcher, which has more time for the request.
             let rejection = Outgoing::empty_response(id, HttpStatus::ServiceUnavailable);
             return self.reject_unless_run(id, &request, rejection);
@@ -504,7 +526,6 @@
         else {
             return self.reject_invalid(id, RejectReason::DuplicateTransaction);
         };
-        self.account.mark_established();
         let body = match body.is_empty() {
             true => body,
             false => self.frontend.request_bodies.track(body),
--- a/crates/platform/src/frontend/session_input.rs
+++ b/crates/platform/src/frontend/session_input.rs
@@ -17,8 +17,8 @@
 pub(super) enum InputMode {
     /// Records are decoded, and requests are accepted.
     Accepting,
-    /// Records are decoded, and all but cancellations are ignored, because too many requests were invalid.
-    CancellationsOnly,
+    /// Records are decoded, and new requests are rejected, because too many requests were invalid.
+    Rejecting,
     /// Input is not decoded any more.
     Discarding,
 }
@@ -96,11 +96,11 @@
         match self.socket.read_now(&mut bytes) {
             Ok(None) => ImmediateInput::Empty,
             Ok(Some(0)) | Err(_) => ImmediateInput::Disconnected,
-            Ok(Some(read)) if mode == InputMode::Accepting => {
+            Ok(Some(_)) if mode == InputMode::Discarding => ImmediateInput::Discarded,
+            Ok(Some(read)) => {
                 self.buffer.extend_from_slice(&bytes[..read]);
                 ImmediateInput::Buffered
             }
-            Ok(Some(_)) => ImmediateInput::Discarded,
         }
     }
 
--- a/crates/platform/src/frontend/session_plan.rs
+++ b/crates/platform/src/frontend/session_plan.rs
@@ -9,6 +9,9 @@
 /// session, on which a client may retry a request that crossed a close.
 const FINAL_INPUT_TIME: Duration = Duration::from_millis(20);
 
+/// Time after the start of a session by which its first request must be complete, however late it began.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Status of a session, on which its plan depends.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SessionStatus {
@@ -16,6 +19,8 @@
     pub open: usize,
     /// Number of open requests that are not complete.
     pub incomplete: usize,
+    /// Time at which the oldest incomplete request began.
+    pub oldest_incomplete_begun_at: Option<Instant>,
     /// Whether the client has sent a complete request, or must not be timed out for not having sent one.
     pub has_received_request: bool,
     /// Whether the session is closed once no request is open.
@@ -29,14 +34,13 @@
 pub(super) struct WaitPlan {
     /// Whether requests are open.
     pub has_open_requests: bool,
-    /// Whether no complete request is open, so that no response is pending.
-    pub no_response_pending: bool,
     /// Whether the session has to be closed and no response is pending.
     pub is_closing: bool,
     /// Time at which the session closes; `None` if it does not close yet, or if it awaits the rest of an incomplete
     /// request.
     pub close_at: Option<Instant>,
-    /// Time until which a complete request is awaited; `None` if none is awaited.
+    /// Time until which a complete request is awaited; `None` if none is awaited. Each incomplete request has its own
+    /// time; this is the first one.
     pub complete_by: Option<Instant>,
 }
 
@@ -50,28 +54,30 @@
 /// Deadlines of a session, which persist from plan to plan.
 #[derive(Debug)]
 pub(super) struct SessionDeadlines {
+    started_at: Instant,
     head_timeout: Duration,
     /// Time by which the session closes, whatever the client sends. It is set when the session first has to be closed
     /// and no response is pending.
     close_at: Option<Instant>,
-    /// Time until which a complete request is awaited; set only while one is awaited.
-    complete_by: Option<Instant>,
 }
 
 impl SessionDeadlines {
     /// Creates the deadlines of a new session.
     pub fn new(head_timeout: Duration) -> Self {
         Self {
+            started_at: Instant::now(),
             head_timeout,
             close_at: None,
-            complete_by: None,
         }
     }
 
+    /// Returns the time within which a request must be complete after its begin.
+    pub fn head_timeout(&self) -> Duration {
+        self.head_timeout
+    }
+
     /// Plans the next wait.
     pub fn plan(&mut self, status: SessionStatus) -> WaitPlan {
-        let awaits_complete = status.incomplete > 0 || !status.has_received_request;
-        self.complete_by = awaits_complete.then(|| self.complete_by());
         let no_response_pending = status.open == status.incomplete;
         let is_shutting_down = status.phase > ShutdownPhase::Serving;
         let is_closing = no_response_pending && (status.is_finishing || is_shutting_down);
@@ -79,17 +85,25 @@
         let close_at = is_closing.then(|| self.close_at(status));
         WaitPlan {
             has_open_requests: status.open > 0,
-            no_response_pending,
             is_closing,
             close_at: close_at.filter(|_| may_close),
-            complete_by: self.complete_by,
+            complete_by: self.complete_by(status),
         }
     }
 
-    /// Returns the time until which a complete request is awaited, counted from when it was first awaited.
-    fn complete_by(&self) -> Instant {
-        self.complete_by
-            .unwrap_or_else(|| Instant::now() + self.head_timeout)
+    /// Returns the time until which a complete request is awaited. The time-out counts from the begin of each request; a
+    /// session without a complete request has a limit of its own.
+    fn complete_by(&self, status: SessionStatus) -> Option<Instant> {
+        let by = status
+            .oldest_incomplete_begun_at
+            .map(|begun_at| begun_at + self.head_timeout);
+        if status.has_received_request {
+            return by;
+        }
+        let without_begun_request = self.started_at + self.head_timeout;
+        Some(by.map_or(without_begun_request, |by| {
+            by.min(self.started_at + FIRST_REQUEST_TIMEOUT)
+        }))
     }
 
     /// Returns the time at which a session without pending responses is closed. Requests that were in transit when the
