Count the time-out of an orphaned response from its cancellation

The time counted from the response's first byte, so a client that gave up a large response late had the connection closed at once; requests of other clients on it may have run and could not be sent again.

Change: the time counts from the cancellation. The new test failed before (the connection counted as blocked since long before the cancellation) and passes now.

--- a/crates/platform/src/connection/state.rs
+++ b/crates/platform/src/connection/state.rs
@@ -49,6 +49,7 @@
 /// A response that is being received.
 struct IncomingResponse {
     id: String,
+    /// Time at which its first bytes arrived, or at which its request was cancelled.
     since: Instant,
 }
 
@@ -225,6 +226,10 @@
         self.write_queue.cancel_current(id, now);
         self.write_queue.push_control(encode_cancellation(id));
         self.remember_ended(id);
+        // The response becomes orphaned now, however long it has been arriving.
+        if let Some(incoming) = self.incoming.as_mut().filter(|incoming| incoming.id == id) {
+            incoming.since = now;
+        }
         true
     }
 
--- a/crates/platform/src/connection/tests.rs
+++ b/crates/platform/src/connection/tests.rs
@@ -203,6 +203,24 @@
     assert_eq!(next.written().await, Ok(()));
 }
 
+/// Guards against the loss of other requests on a connection when a client gives up a large response that has been
+/// arriving for long: the time-out of an orphaned response begins when it is orphaned.
+#[tokio::test]
+async fn orphan_timeout_begins_with_the_cancellation() {
+    const TIMEOUT: Duration = Duration::from_millis(700);
+    let connection = Connection::new();
+    let cancelled = send(&connection, "large");
+    let _other = send(&connection, "other");
+    write_all(&connection);
+    let long_ago = Instant::now() - TIMEOUT;
+    connection.lock().bytes_received(Some("large"), long_ago);
+    let cancelled_at = Instant::now();
+    drop(cancelled);
+    let blocked_since = connection.lock().blocked_since();
+    assert!(blocked_since.is_some_and(|since| since >= cancelled_at));
+    assert!(connection.close_if_unusable(Duration::ZERO, TIMEOUT));
+}
+
 #[tokio::test]
 async fn close_if_idle_closes_idle_connection_and_keeps_busy_one() {
     let connection = Connection::new();
