Tests: floods of records of no request end, and no keyed write that ran is refused

Floods: 20 clients send cancellations, queries of values, body records and unknown records without end.

--- a/crates/cli/tests/platform/client_faults.rs
+++ b/crates/cli/tests/platform/client_faults.rs
@@ -4,6 +4,7 @@
 use pointspindle_platform_protocol::fastcgi::*;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::time::timeout;
 
 /// Size of the header of a FastCGI record, which is all of a record without content.
 const RECORD_HEADER_BYTES: usize = 8;
@@ -310,3 +311,44 @@
         );
     }
 }
+
+/// Guards against floods of records that belong to no request: input that never pauses must not keep a connection open.
+#[tokio::test]
+async fn floods_of_records_of_no_request_are_ended_and_others_are_served() {
+    const FLOODING_CLIENTS: usize = 20;
+    const RECORDS_PER_WRITE: usize = 512;
+    let platform = TwoEndpointPlatform::start(|id, _| served_reply(id, "good")).await;
+    let address = platform.dispatcher.address;
+    let records = [
+        abort_record(77),
+        fastcgi_record(GET_VALUES, 0),
+        fastcgi_record(STDIN, 77),
+        fastcgi_record(99, 0),
+    ];
+    let mut floods = Vec::new();
+    for n in 0..FLOODING_CLIENTS {
+        let bytes = records[n % records.len()].repeat(RECORDS_PER_WRITE);
+        floods.push(tokio::spawn(async move {
+            let FastCgiClient { mut writer, .. } = FastCgiClient::connect(address).await;
+            let flood = async { while writer.write_all(&bytes).await.is_ok() {} };
+            timeout(TEST_TIMEOUT, flood)
+                .await
+                .expect("the connection of a flooding client was not closed in time");
+        }));
+    }
+    let mut other_client = FastCgiClient::connect(address).await;
+    while floods.iter().any(|flood| !flood.is_finished()) {
+        other_client.request_page(1, &[]).await;
+        assert_eq!(other_client.response(1).await.body, b"good");
+    }
+    for flood in floods {
+        flood.await.unwrap();
+    }
+}
+
+/// Returns a record without content.
+fn fastcgi_record(record_type: u8, id: u16) -> BytesMut {
+    let mut out = BytesMut::new();
+    write_record(&mut out, record_type, id, &[]);
+    out
+}
--- a/crates/cli/tests/platform/soak/guarantees.rs
+++ b/crates/cli/tests/platform/soak/guarantees.rs
@@ -162,13 +162,14 @@
     }
 
     fn rejection(&mut self, request: &ObservedRequest, status: u16) {
-        let is_at_most_once = request.record.class == Class::Submit
-            && self.plan.submit_repeat == SubmitRepeat::AtMostOnce;
+        // Nothing tells another dispatcher when the window of a key began.
+        let has_effect = request.record.class == Class::Submit
+            && self.plan.submit_repeat != SubmitRepeat::Idempotent;
         let may_have_run = request
             .attempts
             .iter()
             .any(|attempt| attempt.may_have_run());
-        if status == 503 && is_at_most_once && may_have_run {
+        if status == 503 && has_effect && may_have_run {
             let reason = "rejected, and an attempt may have run";
             self.violated(Guarantee::RejectionAllowsRetry, request.transaction, reason);
         }
