Part the FastCGI session: its requests and the state it shares get modules of their own

The handling of requests is now session/incoming.rs, the requests shared with the writer and the memory budget session_requests.rs; session.rs keeps the life of the connection (303 lines).

--- a/crates/platform/src/frontend/input_budget.rs
+++ b/crates/platform/src/frontend/input_budget.rs
@@ -4,7 +4,7 @@
 //! the largest of the connection that occupies most first ([`super::input_ledger`]), before more input is read.
 use super::input_ledger::{AccountId, InputLedger};
 use super::response_writer::{Outgoing, ResponseSender};
-use super::session::SessionRequests;
+use super::session_requests::SessionRequests;
 use crate::connection_pool::PlatformCore;
 use pointspindle::Micros;
 use pointspindle_dispatcher::request_budget::rejection_retry_after;
--- a/crates/platform/src/frontend/mod.rs
+++ b/crates/platform/src/frontend/mod.rs
@@ -7,6 +7,7 @@
 mod session;
 mod session_input;
 mod session_plan;
+mod session_requests;
 
 use crate::connection_pool::PlatformCore;
 use crate::pause_detector::PauseDetector;
--- a/crates/platform/src/frontend/response_writer.rs
+++ b/crates/platform/src/frontend/response_writer.rs
@@ -1,5 +1,5 @@
 //! Writes the responses of a FastCGI session in the order in which they are completed.
-use super::session::SessionRequests;
+use super::session_requests::SessionRequests;
 use bytes::{Bytes, BytesMut};
 use pointspindle::Micros;
 use pointspindle_platform_protocol::fastcgi::{self, ProtocolStatus};
--- a/crates/platform/src/frontend/session.rs
+++ b/crates/platform/src/frontend/session.rs
@@ -17,37 +17,27 @@
 //!
 //! Before the dispatcher closes a connection for one of the last two reasons, it reads and serves what has already
 //! arrived.
-use super::client_stream::FastCgiClient;
-use super::input_budget::{retry_after_lack_of_memory, InputAccount};
-use super::request_task::{self, TransactionGuard};
-use super::response_writer::{response_channel, HttpStatus, Outgoing, ResponseSender};
+mod incoming;
+
+use super::input_budget::InputAccount;
+use super::response_writer::{response_channel, ResponseSender};
 use super::session_input::{ImmediateInput, InputEvent, InputMode, SessionInput};
 use super::session_plan::{sleep_until, SessionDeadlines, SessionStatus, WaitPlan};
+use super::session_requests::SessionRequests;
 use super::Frontend;
 use crate::shutdown::ShutdownPhase;
-use bytes::Bytes;
-use pointspindle::IdempotencyKey;
 use pointspindle_dispatcher::net::connection_registry::ConnectionPermit;
-use pointspindle_platform_protocol::client_request::{
-    self, ClientMessage, ClientRequest, ClientRequestError,
-};
-use pointspindle_platform_protocol::fastcgi::{ProtocolStatus, Record, RecordError};
-use pointspindle_platform_protocol::request_assembly::{
-    InvalidRequest, RecordOutcome, RequestAssembler, SessionError,
-};
+use pointspindle_platform_protocol::fastcgi::RecordError;
+use pointspindle_platform_protocol::request_assembly::SessionError;
 use pointspindle_transport::{RetryingReadHalf, RetryingWriteHalf};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use tracing::Instrument;
 
-/// Number by which invalid requests may exceed valid ones before a session is closed.
-const MAX_INVALID_REQUESTS: usize = 8;
 /// Number of unwritten responses beyond which a client that does not read is disconnected.
 const MAX_UNWRITTEN_RESPONSES: usize = 256;
 /// Time-out, after the end of a session, of writing the last responses, and then of discarding what the client still
@@ -56,40 +46,6 @@
 /// Number of times that input may delay the close of a session.
 const MAX_CLOSE_DELAYS: usize = 256;
 
-/// Requests of one session, shared by its reader and its writer.
-#[derive(Default)]
-pub(super) struct SessionRequests {
-    assembler: Mutex<RequestAssembler>,
-    /// Signals that a request was finished.
-    finished: Notify,
-}
-
-impl SessionRequests {
-    fn lock(&self) -> MutexGuard<'_, RequestAssembler> {
-        self.assembler
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    /// Drops the incomplete request that occupies most memory. Returns its id and the memory that the others occupy, or
-    /// `None` if none occupies any.
-    pub fn drop_largest_incomplete(&self) -> Option<(u16, usize)> {
-        let mut requests = self.lock();
-        let id = requests.drop_largest_incomplete()?;
-        let remaining_bytes = requests.incomplete_bytes();
-        drop(requests);
-        // The session plans anew.
-        self.finished.notify_one();
-        Some((id, remaining_bytes))
-    }
-
-    /// Finishes a request whose response is written.
-    pub fn finish(&self, id: u16) {
-        self.lock().finish(id);
-        self.finished.notify_one();
-    }
-}
-
 /// Serves a connection until it ends.
 pub(super) async fn run(
     frontend: Frontend,
@@ -129,19 +85,6 @@
     Closed,
 }
 
-/// Reason for which a request gets an error response.
-#[derive(Debug, thiserror::Error)]
-enum RejectReason {
-    #[error(transparent)]
-    Assembly(#[from] InvalidRequest),
-    #[error(transparent)]
-    Parse(#[from] ClientRequestError),
-    #[error("request was not complete within the head time-out")]
-    IncompleteTimeout,
-    #[error("a request with the same transaction id is in flight")]
-    DuplicateTransaction,
-}
-
 /// Error that ends the decoding of a session's input.
 #[derive(Debug, thiserror::Error)]
 enum InputError {
@@ -357,190 +300,4 @@
             }
         }
     }
-
-    /// Stops decoding the input. Requests that were complete before are still served.
-    fn stop_decoding(&mut self, error: InputError) {
-        tracing::debug!(%error, "client input cannot be decoded");
-        let _ = self.requests.lock().drop_incomplete();
-        self.is_finishing = true;
-        self.mode = InputMode::Discarding;
-        self.has_received_request = true;
-    }
-
-    fn reject_incomplete(&mut self) {
-        let incomplete = self.requests.lock().drop_incomplete();
-        for id in incomplete {
-            self.send(Outgoing::empty_response(id, HttpStatus::ServiceUnavailable));
-        }
-    }
-
-    /// Rejects the requests that were not complete in time. If no request of the session was complete before, the session
-    /// ends with them.
-    fn time_out_incomplete(&mut self) {
-        let timed_out = if self.has_received_request {
-            let overdue = Instant::now().checked_sub(self.deadlines.head_timeout());
-            let overdue = overdue.map(Instant::into_std);
-            overdue.map(|by| self.requests.lock().drop_incomplete_begun_by(by))
-        } else {
-            self.is_finishing = true;
-            Some(self.requests.lock().drop_incomplete())
-        };
-        for id in timed_out.into_iter().flatten() {
-            if self.has_received_valid_request {
-                self.respond_invalid(id, RejectReason::IncompleteTimeout);
-            } else {
-                self.reject_invalid(id, RejectReason::IncompleteTimeout);
-            }
-        }
-    }
-
-    fn send(&self, outgoing: Outgoing) {
-        self.responses.send(outgoing);
-    }
-
-    fn handle_record(&mut self, record: Record) {
-        let unread_time = self.frontend.pause_detector.unread_time(Instant::now());
-        let now = Instant::now().into_std();
-        let outcome = self.requests.lock().handle(record, now);
-        match outcome {
-            Ok(outcome) => self.handle_outcome(outcome, unread_time),
-            Err(error) => self.stop_decoding(error.into()),
-        }
-    }
-
-    /// Handles the outcome of a record. `unread_time` is the longest time for which the record may have been buffered.
-    fn handle_outcome(&mut self, outcome: RecordOutcome, unread_time: Duration) {
-        match outcome {
-            RecordOutcome::Pending => {}
-            RecordOutcome::Reply(bytes) => self.send(Outgoing::bytes(bytes)),
-            RecordOutcome::Invalid { id, reason } => self.reject_invalid(id, reason.into()),
-            RecordOutcome::TooManyOpen { id } => {
-                self.send(Outgoing::end_unopened(id, ProtocolStatus::Overloaded));
-            }
-            RecordOutcome::UnknownRole { id } => {
-                self.send(Outgoing::end_unopened(id, ProtocolStatus::UnknownRole));
-                self.count_invalid();
-            }
-            RecordOutcome::Aborted { id, was_complete } => self.abort(id, was_complete),
-            RecordOutcome::Complete {
-                id,
-                params,
-                body,
-                keep_alive,
-            } => {
-                self.has_received_request = true;
-                self.is_finishing |= !keep_alive;
-                self.begin(id, &params, body, unread_time);
-            }
-        }
-    }
-
-    fn abort(&mut self, id: u16, was_complete: bool) {
-        if !was_complete {
-            self.send(Outgoing::end_request(id, ProtocolStatus::Complete));
-        } else if let Some(request) = self.in_flight.get(&id) {
-            request.cancel();
-        }
-    }
-
-    /// Rejects a request and counts it as invalid.
-    fn reject_invalid(&mut self, id: u16, reason: RejectReason) {
-        self.respond_invalid(id, reason);
-        self.count_invalid();
-    }
-
-    fn respond_invalid(&mut self, id: u16, reason: RejectReason) {
-        tracing::debug!(%reason, "client request rejected");
-        self.has_received_request = true;
-        self.send(Outgoing::empty_response(id, HttpStatus::BadRequest));
-    }
-
-    /// Counts an invalid request. At [`MAX_INVALID_REQUESTS`], the session is closed once the valid ones are served, and
-    /// requests that become complete until then are rejected.
-    fn count_invalid(&mut self) {
-        self.invalid_requests += 1;
-        if self.invalid_requests == MAX_INVALID_REQUESTS {
-            self.is_finishing = true;
-            self.mode = InputMode::Rejecting;
-            self.reject_incomplete();
-        }
-    }
-
-    /// Counts a valid request, which makes up for an invalid one.
-    fn count_valid(&mut self) {
-        self.has_received_valid_request = true;
-        self.account.mark_established();
-        if self.mode == InputMode::Accepting {
-            self.invalid_requests = self.invalid_requests.saturating_sub(1);
-        }
-    }
-
-    /// Begins a complete request.
-    fn begin(&mut self, id: u16, params: &Bytes, body: Bytes, unread_time: Duration) {
-        match client_request::parse(params, &body, &self.frontend.settings.classes) {
-            Ok(ClientMessage::HealthCheck) => self.reply_to_health_check(id),
-            Ok(ClientMessage::Request(mut request)) => {
-                let timeout = Duration::from_millis(request.timeout_ms);
-                request.timeout_ms = timeout.saturating_sub(unread_time).as_millis() as u64;
-                self.begin_request(id, request, body);
-            }
-            Err(error) => self.reject_invalid(id, error.into()),
-        }
-    }
-
-    fn reply_to_health_check(&self, id: u16) {
-        let is_serving = self.frontend.phase() == ShutdownPhase::Serving;
-        // Before the first endpoint list, no request can be sent to an endpoint.
-        let is_ready = is_serving && self.frontend.core.endpoint_list_seq() > 0;
-        let status = if is_ready {
-            HttpStatus::Ok
-        } else {
-            HttpStatus::ServiceUnavailable
-        };
-        self.send(Outgoing::empty_response(id, status));
-    }
-
-    /// Rejects a complete request, which has reached neither the core nor an endpoint. It fails if an earlier request may
-    /// have run its idempotency key, since a rejection says that a retry is harmless.
-    fn reject_unless_run(&self, id: u16, request: &ClientRequest, rejection: Outgoing) {
-        let key = IdempotencyKey::from_text(&request.idempotency_key);
-        match self.frontend.core.may_have_run(key) {
-            true => self.send(Outgoing::empty_response(id, HttpStatus::BadGateway)),
-            false => self.send(rejection),
-        }
-    }
-
-    fn begin_request(&mut self, id: u16, request: ClientRequest, body: Bytes) {
-        self.count_valid();
-        if self.frontend.phase() > ShutdownPhase::Serving || self.mode == InputMode::Rejecting {
-            // The client retries on another dispatcher, which has more time for the request.
-            let rejection = Outgoing::empty_response(id, HttpStatus::ServiceUnavailable);
-            return self.reject_unless_run(id, &request, rejection);
-        }
-        if !body.is_empty() && self.frontend.request_bodies.is_threshold_reached() {
-            self.frontend.core.record_over_budget();
-            let retry_after = retry_after_lack_of_memory(&self.frontend.core);
-            return self.reject_unless_run(id, &request, Outgoing::rejection(id, retry_after));
-        }
-        let Some(transaction) = TransactionGuard::reserve(&self.frontend, &request.transaction_id)
-        else {
-            return self.reject_invalid(id, RejectReason::DuplicateTransaction);
-        };
-        let body = match body.is_empty() {
-            true => body,
-            false => self.frontend.request_bodies.track(body),
-        };
-        let cancelled = self.cancelled.child_token();
-        self.in_flight.retain(|_, token| !token.is_cancelled());
-        self.in_flight.insert(id, cancelled.clone());
-        let client = FastCgiClient::new(id, self.responses.clone(), cancelled);
-        let span = tracing::debug_span!(
-            "request",
-            transaction_id = %request.transaction_id,
-            class = request.class,
-            timeout_ms = request.timeout_ms
-        );
-        let task = request_task::run(self.frontend.clone(), transaction, request, body, client);
-        tokio::spawn(task.instrument(span));
-    }
 }
