--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,6 +10,6 @@
     if os.path.exists(path):
         with open(path, encoding="utf-8") as file:
             compile(file.read(), path, "exec")
-assert sys.version_info >= (3, 11), "Python 3.11 or newer is needed (tomllib)"
+assert sys.version_info >= (3, 9), "Python 3.9 or newer is needed"
 print("nothing to build; the stand-ins are Python")
 PYTHON
--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -6,13 +6,13 @@
 import asyncio
 import json
 import os
+import re
 import shutil
 import signal
 import struct
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -575,8 +575,8 @@
 
     async def start(self):
         self.write_config()
-        with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
-            command = tomllib.load(file)["run"]
+        with open(os.path.join(ROOT, "deploy", "balancer.toml"), encoding="utf-8") as file:
+            command = re.search(r'^run = "([^"]*)"$', file.read(), re.MULTILINE).group(1)
         environment = {**os.environ, "BALANCER_NAME": self.name, "BALANCER_LISTEN": self.config["listen"],
                        "BALANCER_CONFIG": self.path, "TMPDIR": self.case.temp}
         log = open(os.path.join(self.case.temp, f"{self.name}.log"), "ab")
@@ -748,6 +748,9 @@
 
     async def run():
         case = Case(folder)
+        # A signal ends the play, and with it all that it started.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             broken, summary = await asyncio.wait_for(scenario(case), limit_s)
             for dispatcher in case.dispatchers:
@@ -756,7 +759,7 @@
             case.record(f"verdict: {'BROKEN' if broken else 'held'}: {summary}")
             print(f"{'BROKEN' if broken else 'held'}: {summary}")
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
             case.record(f"cannot run: {error!r}")
             print(f"cannot run: {error!r}", file=sys.stderr)
             return 2
