Tests: choose unused addresses without listening on them

Cause: the tests' support found a free port with a listener and dropped it. A child that another test starts at that moment holds a copy of the listening socket between its fork and its exec. A connection made meanwhile is accepted by that copy and closed at the exec, before the dispatcher has bound the port. Change: the probe binds the port and does not listen, so nothing can connect to it. The same probe in the testbed (free_address) and in the test of a closed port is changed alike.

--- a/crates/cli/tests/platform/soak/run.rs
+++ b/crates/cli/tests/platform/soak/run.rs
@@ -70,7 +70,7 @@
             let past_sigterm = Instant::now() - ACCEPT_PERIOD * 2;
             slots.push(Arc::new(DispatcherSlot {
                 number,
-                address: unused_address().await,
+                address: unused_address(),
                 sigterm_at: Mutex::new(Some(past_sigterm)),
             }));
         }
--- a/crates/cli/tests/platform/startup.rs
+++ b/crates/cli/tests/platform/startup.rs
@@ -2,7 +2,7 @@
 use crate::support::*;
 use std::collections::BTreeSet;
 use std::path::PathBuf;
-use std::process::Command;
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -224,3 +224,36 @@
         assert_eq!(ready.len(), 10);
     }
 }
+
+/// Guards against health checks that a socket of the test itself accepts: no connection reaches an address that was only
+/// just chosen, while child processes, which inherit open sockets until their exec, are being started.
+#[test]
+fn unused_addresses_refuse_connections_while_processes_are_started() {
+    const THREADS: usize = 8;
+    const PROBES: usize = 50;
+    let probe = || {
+        let is_accepted = || std::net::TcpStream::connect(unused_address()).is_ok();
+        (0..PROBES)
+            .filter(|_| {
+                let mut child = start_short_process();
+                let is_accepted = (0..CONNECTS_PER_PROCESS).any(|_| is_accepted());
+                child.wait().unwrap();
+                is_accepted
+            })
+            .count()
+    };
+    let accepted: usize = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(probe)).collect();
+        threads.into_iter().map(|t| t.join().unwrap()).sum()
+    });
+    assert_eq!(accepted, 0, "connections to addresses without a listener");
+}
+
+const CONNECTS_PER_PROCESS: usize = 20;
+
+/// Starts a process that ends at once.
+fn start_short_process() -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pointspindle"));
+    command.arg("--version").stdout(Stdio::null());
+    command.spawn().unwrap()
+}
--- a/crates/cli/tests/platform/support/dispatcher_process.rs
+++ b/crates/cli/tests/platform/support/dispatcher_process.rs
@@ -104,7 +104,7 @@
         // port before the process listens.
         let address = match options.address {
             Some(address) => address,
-            None => unused_address().await,
+            None => unused_address(),
         };
         let folder = tempfile::tempdir().unwrap();
         let configuration_file = folder.path().join("config.json");
--- a/crates/cli/tests/platform/support/mod.rs
+++ b/crates/cli/tests/platform/support/mod.rs
@@ -26,7 +26,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 /// Maximum time that a test waits for a single step.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(15);
@@ -51,13 +51,14 @@
     Ipv4Addr::new(127, of_this_run, high, low).into()
 }
 
-/// Returns an address and port that no other test of this run uses.
-pub async fn unused_address() -> SocketAddr {
-    TcpListener::bind((unused_loopback_ip(), 0))
-        .await
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// Returns an address and port that no other test of this run uses. The probe binds the port and does not listen: a child
+/// process that another test is starting holds a copy of a listening socket for a moment, and a connection that this copy
+/// accepts is closed without a response.
+pub fn unused_address() -> SocketAddr {
+    let probe = TcpSocket::new_v4().unwrap();
+    probe.set_reuseaddr(true).unwrap();
+    probe.bind((unused_loopback_ip(), 0).into()).unwrap();
+    probe.local_addr().unwrap()
 }
 
 /// Returns an address at which connections are refused.
--- a/crates/cli/tests/program/host_failures.rs
+++ b/crates/cli/tests/program/host_failures.rs
@@ -34,11 +34,10 @@
 #[tokio::test]
 async fn closed_port_is_a_quick_rejection() {
     let folder = tempfile::tempdir().unwrap();
-    let closed_port = TcpListener::bind("127.0.0.1:0")
-        .await
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    // The port is bound and no socket listens on it.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let closed_port = socket.local_addr().unwrap();
     let file = write_settings(folder.path(), closed_port, "");
     let dispatcher = DispatcherProcess::start(&["serve", &file], folder.path());
     let (end, _) = framed_call(dispatcher.bound.framed, 1_400).await;
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -8,6 +8,8 @@
     ZoneSpec,
 };
 use pointspindle_protocol::{EndpointRecord, WireEndpointState};
+use std::net::Ipv4Addr;
+use tokio::net::TcpSocket;
 
 /// Path, class and size in bytes of each sample object. Requests for any other object are answered with "not found".
 pub const SAMPLE_OBJECTS: [(&str, usize, u64); 5] = [
@@ -71,10 +73,14 @@
 }
 
 /// Returns an address with a free port. The port is released at once; the operating system is unlikely to assign it
-/// again soon.
+/// again soon. The port is bound without listening, so that no connection reaches a copy of the socket in a process that
+/// is being started.
 pub fn free_address(ip: &str) -> std::io::Result<String> {
-    let listener = std::net::TcpListener::bind((ip, 0))?;
-    Ok(listener.local_addr()?.to_string())
+    let ip: Ipv4Addr = ip.parse().map_err(std::io::Error::other)?;
+    let probe = TcpSocket::new_v4()?;
+    probe.set_reuseaddr(true)?;
+    probe.bind((ip, 0).into())?;
+    Ok(probe.local_addr()?.to_string())
 }
 
 /// Starts the fleet and returns it with the records of its endpoint list.
