Keep the resident memory of a dispatcher below its limit, whatever the loads add up to

Cause: each kind of body had a bound, and nothing bounded the process. Beside 16 MB of bodies stood 11 MB of pages of the program's file, an index of copies of 5 MB at any limit, and up to 20 MB that the allocator retained, since it keeps the pages of each size class. The index of copies follows from the limit. A monitor reads the resident memory as bodies grow; a twelfth of the limit below it, no further body is held.

--- a/benches/deploys.rs
+++ b/benches/deploys.rs
@@ -56,6 +56,7 @@
         cache_slow_start: slow_start,
         parent_slow_start: slow_start,
         purge_horizon: 6 * S,
+        max_known_copies: DEFAULT_MAX_KNOWN_COPIES,
     }
 }
 
--- a/crates/cli/src/commands/cache.rs
+++ b/crates/cli/src/commands/cache.rs
@@ -1,7 +1,7 @@
 //! The `pointspindle cache` command.
-use crate::exit::{CommandError, CommandResult};
 use crate::process::{raise_descriptor_limit, write_atomically};
 use pointspindle_cache_host::Host;
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use pointspindle_transport::Network;
 use std::path::PathBuf;
 use tokio::signal::unix::{signal, SignalKind};
--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -1,5 +1,5 @@
 //! The `pointspindle check` command.
-use crate::exit::{CommandError, CommandResult};
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use std::path::Path;
 
 /// Checks a settings file and prints all errors in it.
--- a/crates/cli/src/commands/client_arguments.rs
+++ b/crates/cli/src/commands/client_arguments.rs
@@ -1,5 +1,5 @@
 //! Arguments of `get` and `load` for calls to a dispatcher, and the URLs of objects.
-use crate::exit::CommandError;
+use pointspindle_cli::exit::CommandError;
 use pointspindle_client::{CertificateFiles, Client, ClientTls, Request, RetryPolicy};
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/cli/src/commands/completions.rs
+++ b/crates/cli/src/commands/completions.rs
@@ -1,8 +1,8 @@
 //! The `pointspindle completions` command.
-use crate::exit::CommandResult;
 use crate::Arguments;
 use clap::CommandFactory;
 use clap_complete::Shell;
+use pointspindle_cli::exit::CommandResult;
 use std::io::Write;
 
 /// Writes the completions of a shell to standard output.
--- a/crates/cli/src/commands/endpoints.rs
+++ b/crates/cli/src/commands/endpoints.rs
@@ -1,8 +1,8 @@
 //! `pointspindle members`: shows and changes the endpoint list of running dispatchers, directly or through etcd.
 use super::control_client::{apply, endpoint_list};
 use super::etcd_access::EtcdArguments;
-use crate::exit::CommandResult;
 use crate::output::endpoint_list::print_list;
+use pointspindle_cli::exit::CommandResult;
 use pointspindle_clock::wall_clock_unix_ms;
 use pointspindle_etcd::layout::{EndpointState, MemberRecord};
 use pointspindle_protocol::{
--- a/crates/cli/src/commands/etcd_access.rs
+++ b/crates/cli/src/commands/etcd_access.rs
@@ -1,6 +1,6 @@
 //! Changes of endpoint lists and purges through etcd, for all dispatchers that watch it.
-use crate::exit::{CommandError, CommandResult};
 use crate::output::endpoint_list::endpoint_line;
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use pointspindle_etcd::layout::{MemberRecord, PurgeRecord};
 use pointspindle_etcd::writer::{self, PurgePromise};
 use pointspindle_etcd::{feed, Etcd, EtcdAccess, Output, ViewFreshness, Watcher, WatcherSettings};
--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -1,7 +1,7 @@
 //! The `pointspindle get` command.
 use super::client_arguments::{ClientArguments, Url};
-use crate::exit::{CommandError, CommandResult};
 use indicatif::{ProgressBar, ProgressStyle};
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use pointspindle_client::{Call, CallEvent, Client, Outcome, Request};
 use std::io::{ErrorKind, IsTerminal, Write};
 use std::path::PathBuf;
--- a/crates/cli/src/commands/lab/capacity.rs
+++ b/crates/cli/src/commands/lab/capacity.rs
@@ -1,6 +1,6 @@
 //! The `pointspindle lab capacity` command.
 use super::scale::{read_json, read_target};
-use crate::exit::{CommandError, CommandResult};
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use pointspindle_scale::slopes::Fits;
 use std::path::PathBuf;
 
--- a/crates/cli/src/commands/lab/compare.rs
+++ b/crates/cli/src/commands/lab/compare.rs
@@ -1,7 +1,7 @@
 //! The `pointspindle lab compare` command.
 use super::seeds::Seeds;
 use super::sweep::{checked_text, job_count};
-use crate::exit::{negative_if, CommandError, CommandResult};
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_report::compare::{self, Figures, Pair};
 use pointspindle_report::html;
 use pointspindle_report::sweep::{self, Cell, Source};
--- a/crates/cli/src/commands/lab/etcd_lag.rs
+++ b/crates/cli/src/commands/lab/etcd_lag.rs
@@ -1,5 +1,5 @@
 //! The `pointspindle lab etcd` command.
-use crate::exit::{negative_if, CommandError, CommandResult};
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_etcd_emulator::measure::{measure_watch_lag, Measurement, MeasurementPlan};
 use std::time::Duration;
 
--- a/crates/cli/src/commands/lab/explain.rs
+++ b/crates/cli/src/commands/lab/explain.rs
@@ -1,7 +1,7 @@
 //! The `pointspindle lab explain` command.
-use crate::exit::{CommandError, CommandResult};
 use crate::output::run_report::print_trace;
 use pointspindle_audit::trace::ClientAttemptId;
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use pointspindle_report::folder;
 use std::path::PathBuf;
 
--- a/crates/cli/src/commands/lab/fleet.rs
+++ b/crates/cli/src/commands/lab/fleet.rs
@@ -2,10 +2,10 @@
 use super::run::run_in_virtual_time;
 use super::scenario_arguments::ScaledScenarioArguments;
 use super::temporary_folder::RunFolder;
-use crate::exit::{negative_if, CommandError, CommandResult};
 use crate::output::fleet_report::{fleet_json, print_totals};
 use crate::output::run_report::{has_violations, print_outcome, print_rule};
 use pointspindle_audit::fleet_totals;
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_scenario::fault_injection::InjectedFault;
 use pointspindle_scenario::Scenario;
 use pointspindle_testbed::fleet_run::{self, Outcome};
--- a/crates/cli/src/commands/lab/hunt.rs
+++ b/crates/cli/src/commands/lab/hunt.rs
@@ -1,6 +1,6 @@
 //! The `pointspindle lab hunt` command.
 use super::sweep::checked_text;
-use crate::exit::{negative_if, CommandResult};
+use pointspindle_cli::exit::{negative_if, CommandResult};
 use pointspindle_report::hunt::{self, SearchGoal};
 use pointspindle_report::sweep::Source;
 use pointspindle_scenario::SettingOverride;
--- a/crates/cli/src/commands/lab/idle.rs
+++ b/crates/cli/src/commands/lab/idle.rs
@@ -1,8 +1,8 @@
 //! The `pointspindle lab idle` command.
 use crate::embedded_fleet;
-use crate::exit::{CommandError, CommandResult};
 use crate::output::idle_table::{print_expiry, print_header, print_step, print_summary};
 use crate::process::raise_descriptor_limit;
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use pointspindle_report::html;
 use pointspindle_testbed::idle::{measure, measure_expiry, IdlePlan, IdleStep};
 use std::net::SocketAddr;
--- a/crates/cli/src/commands/lab/import.rs
+++ b/crates/cli/src/commands/lab/import.rs
@@ -1,5 +1,5 @@
 //! The `pointspindle lab import` command.
-use crate::exit::CommandResult;
+use pointspindle_cli::exit::CommandResult;
 use pointspindle_scenario::import::{self, Size};
 use std::path::Path;
 
--- a/crates/cli/src/commands/lab/mod.rs
+++ b/crates/cli/src/commands/lab/mod.rs
@@ -17,7 +17,7 @@
 mod temporary_folder;
 mod watch;
 
-use crate::exit::CommandResult;
+use pointspindle_cli::exit::CommandResult;
 use std::path::PathBuf;
 
 /// Subcommand of `lab`.
--- a/crates/cli/src/commands/lab/report.rs
+++ b/crates/cli/src/commands/lab/report.rs
@@ -1,5 +1,5 @@
 //! The `pointspindle lab report` command.
-use crate::exit::CommandResult;
+use pointspindle_cli::exit::CommandResult;
 use pointspindle_report::{folder, html};
 use std::path::PathBuf;
 
--- a/crates/cli/src/commands/lab/run.rs
+++ b/crates/cli/src/commands/lab/run.rs
@@ -1,10 +1,10 @@
 //! The `pointspindle lab run` command.
 use super::scenario_arguments::ScaledScenarioArguments;
 use super::temporary_folder::RunFolder;
-use crate::exit::{negative_if, CommandError, CommandResult};
 use crate::output::run_report::{has_violations, outcome_json, print_outcome, print_trace};
 use pointspindle_audit::history::request_history;
 use pointspindle_audit::trace::{ClientAttemptId, TraceEntry};
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_report::folder;
 use pointspindle_report::record::Run;
 use pointspindle_scenario::fault_injection::InjectedFault;
--- a/crates/cli/src/commands/lab/scale.rs
+++ b/crates/cli/src/commands/lab/scale.rs
@@ -1,7 +1,7 @@
 //! The `pointspindle lab scale` command.
-use crate::exit::{negative_if, CommandError, CommandResult};
 use crate::output::scale_report::{exceeded_budgets, print_runs};
 use crate::process::raise_descriptor_limit;
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_scale::results::Step;
 use pointspindle_scale::runner::{machine_memory_mb, run_step};
 use pointspindle_scale::slopes::{fit_runs, Fits};
--- a/crates/cli/src/commands/lab/scenario_arguments.rs
+++ b/crates/cli/src/commands/lab/scenario_arguments.rs
@@ -1,5 +1,5 @@
 //! Arguments that select a scenario, its seed, its settings and its duration.
-use crate::exit::CommandError;
+use pointspindle_cli::exit::CommandError;
 use pointspindle_scenario::{Scenario, SettingOverride};
 use std::path::{Path, PathBuf};
 
--- a/crates/cli/src/commands/lab/sweep.rs
+++ b/crates/cli/src/commands/lab/sweep.rs
@@ -1,7 +1,7 @@
 //! The `pointspindle lab sweep` command.
 use super::seeds::Seeds;
-use crate::exit::{negative_if, CommandError, CommandResult};
 use crate::output::sweep_table;
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_report::html;
 use pointspindle_report::sweep::{self, Source, VariedSetting};
 use pointspindle_scenario::SettingOverride;
--- a/crates/cli/src/commands/lab/watch.rs
+++ b/crates/cli/src/commands/lab/watch.rs
@@ -1,11 +1,11 @@
 //! `pointspindle lab watch`: shows a run in progress on the terminal.
 use super::scenario_arguments::ScenarioArguments;
 use super::temporary_folder::RunFolder;
-use crate::exit::{negative_if, CommandError, CommandResult};
 use crate::output::run_report::{has_violations, print_rule_counts};
 use pointspindle_audit::recorder::Recorder;
 use pointspindle_audit::trace::{TraceEntry, TraceEvent};
 use pointspindle_audit::RuleVerdict;
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_report::terminal::draw;
 use pointspindle_report::watch::LiveView;
 use pointspindle_scenario::Scenario;
--- a/crates/cli/src/commands/load.rs
+++ b/crates/cli/src/commands/load.rs
@@ -1,7 +1,7 @@
 //! The `pointspindle load` command.
 use super::client_arguments::{ClientArguments, Url};
-use crate::exit::{negative_if, CommandError, CommandResult};
 use crate::output::load_report::LoadReport;
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_client::{Call, CallEvent, Outcome};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
--- a/crates/cli/src/commands/manual.rs
+++ b/crates/cli/src/commands/manual.rs
@@ -1,8 +1,8 @@
 //! The `pointspindle manual` command.
-use crate::exit::CommandResult;
 use crate::Arguments;
 use clap::CommandFactory;
 use clap_mangen::Man;
+use pointspindle_cli::exit::CommandResult;
 use std::io::Write;
 
 /// Writes the manual page to standard output, in roff.
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -11,12 +11,12 @@
 mod load;
 mod manual;
 mod purge;
-mod run;
 mod serve;
 mod store;
 
-use crate::exit::CommandResult;
 pub use load::FinishedCall;
+use pointspindle_cli::exit::CommandResult;
+use pointspindle_cli::run::{run, RunArguments};
 use std::path::PathBuf;
 
 /// Command of the program.
@@ -26,7 +26,7 @@
     Serve(serve::ServeArguments),
     /// Run a dispatcher on the operators' platform: FastCGI clients, cache hosts with a line protocol, a discovery
     /// stream.
-    Run(run::RunArguments),
+    Run(RunArguments),
     /// Run a cache host: an edge or parent cache with a store on disk, or a gateway to an HTTP origin.
     Cache(cache::CacheArguments),
     /// Inspect the store of a cache host, whether the host is running or not.
@@ -62,7 +62,8 @@
     pub async fn run(self) -> CommandResult {
         match self {
             Self::Serve(arguments) => serve::serve(arguments).await,
-            Self::Run(arguments) => run::run(arguments).await,
+            // The allocator of this program releases free memory by itself.
+            Self::Run(arguments) => run(arguments, || {}).await,
             Self::Cache(arguments) => cache::cache(arguments).await,
             Self::Store(command) => store::store(command),
             Self::Check { file } => check::check(&file),
--- a/crates/cli/src/commands/purge.rs
+++ b/crates/cli/src/commands/purge.rs
@@ -1,8 +1,8 @@
 //! The `pointspindle purge` command.
 use super::control_client::apply;
 use super::etcd_access::EtcdArguments;
-use crate::exit::{CommandError, CommandResult};
 use pointspindle::ObjectId;
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use pointspindle_protocol::{Frame, PurgeHead};
 use std::net::SocketAddr;
 
--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -1,7 +1,7 @@
 //! The `pointspindle serve` command.
 use crate::embedded_fleet;
-use crate::exit::{CommandError, CommandResult};
 use crate::process::{raise_descriptor_limit, write_atomically};
+use pointspindle_cli::exit::{CommandError, CommandResult};
 use pointspindle_config::DispatcherSettings;
 use pointspindle_dispatcher::{Dispatcher, PreparedDispatcher};
 use pointspindle_etcd::EtcdSource;
--- a/crates/cli/src/commands/store.rs
+++ b/crates/cli/src/commands/store.rs
@@ -1,6 +1,6 @@
 //! The `pointspindle store` command.
-use crate::exit::{negative_if, CommandError, CommandResult};
 use crate::output::store_report;
+use pointspindle_cli::exit::{negative_if, CommandError, CommandResult};
 use pointspindle_store::check::{self, Report};
 use pointspindle_store::Folder;
 use std::path::{Path, PathBuf};
--- a/crates/cli/src/embedded_fleet.rs
+++ b/crates/cli/src/embedded_fleet.rs
@@ -1,5 +1,5 @@
 //! A fleet with sample objects on loopback, for `serve` without a settings file and for measurements.
-use crate::exit::CommandError;
+use pointspindle_cli::exit::CommandError;
 use pointspindle_config::DispatcherSettings;
 use pointspindle_dispatcher::BoundAddresses;
 use pointspindle_protocol::EndpointRecord;
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -14,6 +14,26 @@
     CannotRun = 2,
 }
 
+impl ExitStatus {
+    /// Returns the status of a command with this result. The reason of a command that could not run is printed.
+    pub fn of(result: CommandResult) -> Self {
+        match result {
+            Ok(()) => Self::Success,
+            Err(CommandError::Negative) => Self::Negative,
+            Err(CommandError::CannotRun(reason)) => {
+                eprintln!("pointspindle: {reason}");
+                Self::CannotRun
+            }
+        }
+    }
+}
+
+/// Prints that the async runtime cannot be started.
+pub fn start_error(error: &std::io::Error) -> ExitStatus {
+    eprintln!("pointspindle: cannot start the async runtime: {error}");
+    ExitStatus::CannotRun
+}
+
 /// Shown below the help of the program.
 pub const EXIT_STATUS_HELP: &str = "Exit status:\n  \
     0  the command succeeded\n  \
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,8 +2,6 @@
 //! libraries do the work.
 mod commands;
 mod embedded_fleet;
-mod exit;
-mod logging;
 mod output;
 mod process;
 
@@ -15,7 +13,8 @@
 
 use clap::Parser;
 use commands::Command;
-use exit::{CommandError, ExitStatus, EXIT_STATUS_HELP};
+use pointspindle_cli::exit::{start_error, ExitStatus, EXIT_STATUS_HELP};
+use pointspindle_cli::logging;
 use std::process::ExitCode;
 
 /// A caching edge for web objects: dispatchers, edge and parent caches, and gateways to an origin.
@@ -43,19 +42,8 @@
     } else {
         tokio::runtime::Builder::new_multi_thread()
     };
-    let runtime = match builder.enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("pointspindle: cannot start the async runtime: {error}");
-            return ExitStatus::CannotRun.into();
-        }
-    };
-    match runtime.block_on(arguments.command.run()) {
-        Ok(()) => ExitStatus::Success.into(),
-        Err(CommandError::Negative) => ExitStatus::Negative.into(),
-        Err(CommandError::CannotRun(reason)) => {
-            eprintln!("pointspindle: {reason}");
-            ExitStatus::CannotRun.into()
-        }
+    match builder.enable_all().build() {
+        Ok(runtime) => ExitStatus::of(runtime.block_on(arguments.command.run())).into(),
+        Err(error) => start_error(&error).into(),
     }
 }
--- a/crates/cli/tests/platform/request_memory.rs
+++ b/crates/cli/tests/platform/request_memory.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 /// Largest body of a write, as the platform defines it.
 const LARGEST_BODY_BYTES: usize = 48_000;
@@ -274,3 +274,111 @@
     let sent = format!("large responses for {CLIENTS} clients, {served} of {requests} served");
     scale.assert_memory_within_limit(&dispatcher, &sent);
 }
+
+/// Number of objects that are requested before the load: more than the index of copies holds.
+const KNOWN_OBJECTS: u64 = 110_000;
+const BROWSERS: u64 = 4;
+/// Objects with this first digit are of the largest size.
+const LARGE_OBJECT_PREFIX: &str = "f";
+const LARGE_OBJECT_FIELD: (&str, &str) = ("HTTP_X_ROW", "f000000000000001");
+/// Number of requests that each client of the load sends at once.
+const REQUESTS_AT_ONCE: u16 = 30;
+
+/// Requests many objects, one after another, as usual clients do.
+async fn request_many_objects(dispatcher: SocketAddr, browser: u64) {
+    let mut client = FastCgiClient::connect(dispatcher).await;
+    let mut number = browser;
+    while number < KNOWN_OBJECTS {
+        for id in 1..=REQUESTS_AT_ONCE {
+            let object = format!("0{}", &spread_object(number)[1..]);
+            client.request_page(id, &[("HTTP_X_ROW", &object)]).await;
+            number += BROWSERS;
+        }
+        for id in 1..=REQUESTS_AT_ONCE {
+            assert_eq!(client.response(id).await.status, 200);
+        }
+    }
+}
+
+/// Requests large objects. Returns after all responses, or after the first one.
+async fn read_large_objects(dispatcher: SocketAddr, leaves_early: bool) -> usize {
+    let mut client = FastCgiClient::connect(dispatcher).await;
+    for id in 1..=REQUESTS_AT_ONCE {
+        client.request_page(id, &[LARGE_OBJECT_FIELD]).await;
+    }
+    let mut served = 0;
+    for id in 1..=REQUESTS_AT_ONCE {
+        let response = client.response(id).await;
+        assert!(matches!(response.status, 200 | 503), "{response:?}");
+        served += usize::from(response.status == 200);
+        if leaves_early {
+            break;
+        }
+    }
+    served
+}
+
+/// Sends complete writes of the largest size and reads their responses.
+async fn write_at_once(dispatcher: SocketAddr) {
+    let mut client = FastCgiClient::connect(dispatcher).await;
+    let body = vec![b'w'; LARGEST_BODY_BYTES];
+    let write = |id| fastcgi_request(id, "/ops/submit", &[IDEMPOTENCY_KEY_FIELD], &body);
+    for id in 1..=REQUESTS_AT_ONCE {
+        client.writer.write_all(&write(id)).await.unwrap();
+    }
+    for id in 1..=REQUESTS_AT_ONCE {
+        client.response(id).await;
+    }
+}
+
+/// Sends writes without their last bytes and leaves after a while.
+async fn write_incompletely(dispatcher: SocketAddr) {
+    let mut client = FastCgiClient::connect(dispatcher).await;
+    for id in 1..=REQUESTS_AT_ONCE {
+        let _ = client.writer.write_all(&incomplete_write(id)).await;
+    }
+    tokio::time::sleep(CLIENTS_ARE_SILENT_FOR).await;
+}
+
+/// Guards against a sum of all kinds of load, of the tables and of the program that exceeds the memory limit while each
+/// kind stays within its own bound (review case 7).
+#[tokio::test]
+async fn all_kinds_of_load_together_stay_within_the_memory_limit() {
+    const ROUNDS: usize = 3;
+    let large = "o".repeat(LARGEST_OBJECT_BYTES);
+    for scale in SCALES {
+        let large = large.clone();
+        let discovery = DiscoveryServer::start().await;
+        let cache = ScriptedCacheHost::start(move |id, fields| {
+            let is_large = fields.contains(&format!("obj={LARGE_OBJECT_PREFIX}"));
+            served_reply(id, if is_large { &large } else { "good" })
+        })
+        .await;
+        let dispatcher = scale.start(&discovery, cache.address).await;
+        let address = dispatcher.address;
+        let mut browsers = JoinSet::new();
+        for browser in 0..BROWSERS {
+            browsers.spawn(request_many_objects(address, browser));
+        }
+        browsers.join_all().await;
+        let mut served = 0;
+        for _ in 0..ROUNDS {
+            let mut load = JoinSet::new();
+            for _ in 0..scale.faulty_clients / 2 {
+                load.spawn(write_at_once(address));
+                load.spawn(write_incompletely(address));
+            }
+            let mut readers = JoinSet::new();
+            for n in 0..scale.faulty_clients {
+                readers.spawn(read_large_objects(address, n % 4 > 0));
+            }
+            served += readers.join_all().await.into_iter().sum::<usize>();
+            load.join_all().await;
+        }
+        let sent = format!("all kinds of load after many objects, {served} large objects served");
+        scale.assert_memory_within_limit(&dispatcher, &sent);
+        let mut client = FastCgiClient::connect(address).await;
+        client.request_page(1, &[]).await;
+        assert_eq!(client.response(1).await.status, 200);
+    }
+}
--- a/crates/cli/tests/platform/support/dispatcher_process.rs
+++ b/crates/cli/tests/platform/support/dispatcher_process.rs
@@ -250,8 +250,8 @@
     };
     let shows_log = std::env::var_os(SHOW_LOG_VARIABLE).is_some();
     let arguments: &[&str] = match shows_log {
-        true => &["--log", "debug", "run"],
-        false => &["run"],
+        true => &["--log", "debug"],
+        false => &[],
     };
     let log = match shows_log {
         true => Stdio::inherit(),
@@ -261,7 +261,7 @@
     let mut command = Command::new("sh");
     command
         .args(["-c", &format!("{limit} exec \"$0\" \"$@\"")])
-        .arg(env!("CARGO_BIN_EXE_pointspindle"))
+        .arg(env!("CARGO_BIN_EXE_pointspindle-dispatcher"))
         .args(arguments)
         .env("BALANCER_CONFIG", configuration_file)
         .env("BALANCER_LISTEN", address.to_string())
--- a/crates/cli/tests/program/host_failures.rs
+++ b/crates/cli/tests/program/host_failures.rs
@@ -3,7 +3,7 @@
 use futures_util::StreamExt;
 use pointspindle_protocol::*;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 #[tokio::test]
 async fn silent_host_costs_the_client_no_more_than_its_deadline() {
--- a/crates/config/src/dispatcher/router.rs
+++ b/crates/config/src/dispatcher/router.rs
@@ -3,7 +3,10 @@
 use crate::endpoints::Role;
 use crate::reader::Reader;
 use crate::slow_start;
-use pointspindle::{CacheStatusDetail, RequestClass, RouterSettings, Siblings, Weights, Zone};
+use pointspindle::{
+    CacheStatusDetail, RequestClass, RouterSettings, Siblings, Weights, Zone,
+    DEFAULT_MAX_KNOWN_COPIES,
+};
 
 const SECTION: &str = "fleet";
 
@@ -73,5 +76,6 @@
         cache_slow_start: slow_start::read(reader, "cold cache"),
         parent_slow_start: slow_start::read(reader, "cold parent"),
         purge_horizon: reader.duration_us(SECTION, "purge_done_ms", 6000.0, 0.0, 60.0 * MINUTE_MS),
+        max_known_copies: DEFAULT_MAX_KNOWN_COPIES,
     }
 }
--- a/crates/dispatcher/src/net/core_handle.rs
+++ b/crates/dispatcher/src/net/core_handle.rs
@@ -237,7 +237,7 @@
         let (sender, commands) = mpsc::unbounded_channel();
         let mut state = self.lock();
         let open = state.commands.len();
-        let buffered = self.meter.buffered_bytes();
+        let buffered = self.meter.admission_bytes();
         let decision = self.budget.decide(open, buffered, || state.rng.gen());
         if let BudgetDecision::Reject { retry_after } = decision {
             return Err(retry_after);
--- a/crates/platform-protocol/src/settings.rs
+++ b/crates/platform-protocol/src/settings.rs
@@ -345,5 +345,6 @@
         cache_slow_start: cache_slow_start(&document.slow_start),
         parent_slow_start: parent_slow_start(caching, &document.slow_start),
         purge_horizon: micros_or_zero(caching.purge_horizon_ms),
+        max_known_copies: DEFAULT_MAX_KNOWN_COPIES,
     })
 }
--- a/crates/platform/src/connection/metered_codec.rs
+++ b/crates/platform/src/connection/metered_codec.rs
@@ -25,7 +25,11 @@
         Self {
             codec: CacheResponseCodec::default(),
             connection,
-            incomplete: IncompleteBody { meter, bytes: 0 },
+            incomplete: IncompleteBody {
+                meter,
+                bytes: 0,
+                unreceived: 0,
+            },
         }
     }
 }
@@ -41,7 +45,8 @@
             self.connection
                 .bytes_received(self.codec.incomplete_response_id());
         }
-        self.incomplete.set(self.codec.incomplete_body_bytes());
+        self.incomplete
+            .set(self.codec.incomplete_body_bytes(), from.len());
         if let Some(response) = &mut response {
             let body = std::mem::take(&mut response.body);
             response.body = self.incomplete.meter.track(body);
@@ -58,10 +63,15 @@
 struct IncompleteBody {
     meter: BufferMeter,
     bytes: usize,
+    /// Part of `bytes` that has not been received.
+    unreceived: usize,
 }
 
 impl IncompleteBody {
-    fn set(&mut self, bytes: usize) {
+    fn set(&mut self, bytes: usize, received: usize) {
+        let unreceived = bytes.saturating_sub(received);
+        self.meter.set_unreceived(self.unreceived, unreceived);
+        self.unreceived = unreceived;
         if bytes != self.bytes {
             self.meter.sub(self.bytes);
             self.meter.add(bytes);
@@ -72,6 +82,7 @@
 
 impl Drop for IncompleteBody {
     fn drop(&mut self) {
+        self.meter.set_unreceived(self.unreceived, 0);
         self.meter.sub(self.bytes);
     }
 }
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) use state::RequestError;
 pub(crate) use write_queue::{EncodedRequest, RequestEncoder};
 
+use crate::memory::MemoryMonitor;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use metered_codec::MeteredCodec;
@@ -226,13 +227,19 @@
     /// connection.
     ///
     /// While the limit of buffered bytes is reached, no further response is read, and nothing is written.
-    pub async fn run(self: Arc<Self>, socket: TcpStream, meter: BufferMeter) -> Option<String> {
+    pub async fn run(
+        self: Arc<Self>,
+        socket: TcpStream,
+        memory: Arc<MemoryMonitor>,
+    ) -> Option<String> {
+        let meter = memory.responses().clone();
         let (read, write) = socket.into_split();
         let codec = MeteredCodec::new(self.clone(), meter.clone());
         let read = RetryingReadHalf::new(read);
         let mut responses = FramedRead::with_capacity(read, codec, READ_BUFFER_BYTES);
         let mut has_yielded = false;
         let reason = loop {
+            memory.check_growth();
             let is_paused = is_paused(&responses, &meter);
             let has_writes = self.lock().set_paused(is_paused, Instant::now());
             tokio::select! {
--- a/crates/platform/src/connection/tests.rs
+++ b/crates/platform/src/connection/tests.rs
@@ -120,7 +120,7 @@
         .unwrap();
     let (peer, _) = listener.accept().await.unwrap();
     let connection = Connection::new();
-    let task = tokio::spawn(connection.clone().run(socket, BufferMeter::default()));
+    let task = tokio::spawn(connection.clone().run(socket, MemoryMonitor::unlimited()));
     (connection, peer, task)
 }
 
--- a/crates/platform/src/connection_pool/connector.rs
+++ b/crates/platform/src/connection_pool/connector.rs
@@ -52,7 +52,7 @@
         _ => return,
     };
     let _ = socket.set_nodelay(true);
-    let reason = connection.clone().run(socket, pool.meter.clone()).await;
+    let reason = connection.clone().run(socket, pool.memory.clone()).await;
     pool.connection_ended(&id, &connection, reason.is_some());
     if let Some(reason) = reason {
         tracing::debug!(endpoint = id, reason, "endpoint connection ended");
--- a/crates/platform/src/connection_pool/mod.rs
+++ b/crates/platform/src/connection_pool/mod.rs
@@ -22,6 +22,7 @@
 pub use maintenance::run_maintenance;
 
 use crate::connection::Connection;
+use crate::memory::MemoryMonitor;
 use crate::pause_detector::PauseDetector;
 use crate::settings::PlatformSettings;
 use endpoint::Endpoint;
@@ -29,7 +30,6 @@
 use pointspindle_config::{Role, UpstreamSettings};
 use pointspindle_dispatcher::core::AttemptEnd;
 use pointspindle_dispatcher::net::core_handle::{AttemptId, CoreHandle};
-use pointspindle_transport::BufferMeter;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashSet};
@@ -105,7 +105,8 @@
     settings: UpstreamSettings,
     max_connections: usize,
     max_connections_per_endpoint: usize,
-    meter: BufferMeter,
+    /// Memory of the process, which limits the responses that are received.
+    pub memory: Arc<MemoryMonitor>,
     /// Origin of the pool's time values.
     started_at: Instant,
     pause_detector: Arc<PauseDetector>,
@@ -125,7 +126,7 @@
     /// ([`connect_requested`]).
     pub fn new(
         settings: &PlatformSettings,
-        meter: &BufferMeter,
+        memory: Arc<MemoryMonitor>,
         pause_detector: Arc<PauseDetector>,
         connect_requests: mpsc::UnboundedSender<String>,
     ) -> Self {
@@ -140,7 +141,7 @@
             settings: settings.dispatcher.upstream.clone(),
             max_connections: settings.max_connections,
             max_connections_per_endpoint: settings.max_connections_per_endpoint,
-            meter: meter.clone(),
+            memory,
             started_at: Instant::now(),
             pause_detector,
             connect_requests,
--- a/crates/platform/src/connection_pool/tests.rs
+++ b/crates/platform/src/connection_pool/tests.rs
@@ -16,7 +16,7 @@
     let (connect_requests, _receiver) = mpsc::unbounded_channel();
     let pool = ConnectionPool::new(
         &settings,
-        &BufferMeter::default(),
+        MemoryMonitor::unlimited(),
         PauseDetector::new(Instant::now()),
         connect_requests,
     );
--- a/crates/platform/src/frontend/input_budget.rs
+++ b/crates/platform/src/frontend/input_budget.rs
@@ -87,9 +87,14 @@
         retry_after_lack_of_memory(&self.core)
     }
 
-    /// Rejects incomplete requests until no limit is exceeded.
+    /// Rejects incomplete requests until no limit is exceeded and the memory of the process is not exhausted by them.
     fn enforce(&self, state: &mut BudgetState) {
-        while let Some((id, bytes)) = state.ledger.over_limit() {
+        loop {
+            let memory = &self.core.transport.memory;
+            let is_exhausted = memory.set_incomplete_requests(state.ledger.total_bytes());
+            let Some((id, bytes)) = state.ledger.over_limit(is_exhausted) else {
+                return;
+            };
             let Some(holder) = state.holders.get(&id) else {
                 return state.ledger.close(id);
             };
@@ -158,6 +163,8 @@
     fn drop(&mut self) {
         let mut state = self.budget.lock();
         state.ledger.close(self.id);
+        let memory = &self.budget.core.transport.memory;
+        memory.set_incomplete_requests(state.ledger.total_bytes());
         state.holders.remove(&self.id);
     }
 }
--- a/crates/platform/src/frontend/input_ledger.rs
+++ b/crates/platform/src/frontend/input_ledger.rs
@@ -8,6 +8,9 @@
 /// Divisor of the limit that gives the limit of all connections together on which no request has been accepted yet.
 const NEW_CONNECTIONS_DIVISOR: usize = 2;
 
+/// Divisor of the limit that gives the limit while the memory of the process is exhausted.
+const EXHAUSTED_DIVISOR: usize = 4;
+
 /// Number of a connection, unique within an [`InputLedger`].
 pub(super) type AccountId = u64;
 
@@ -77,10 +80,14 @@
     }
 
     /// Returns the connection that has to give up some of its memory, and how much it occupies; `None` while no limit
-    /// is exceeded.
-    pub fn over_limit(&self) -> Option<(AccountId, usize)> {
+    /// is exceeded. The limit is smaller while the memory of the process is exhausted.
+    pub fn over_limit(&self, is_exhausted: bool) -> Option<(AccountId, usize)> {
         let new_only = self.new_bytes > self.max_bytes / NEW_CONNECTIONS_DIVISOR;
-        if !new_only && self.total_bytes <= self.max_bytes {
+        let max_bytes = match is_exhausted {
+            true => self.max_bytes / EXHAUSTED_DIVISOR,
+            false => self.max_bytes,
+        };
+        if !new_only && self.total_bytes <= max_bytes {
             return None;
         }
         let accounts = self.accounts.iter();
--- a/crates/platform/src/frontend/input_ledger/tests.rs
+++ b/crates/platform/src/frontend/input_ledger/tests.rs
@@ -11,11 +11,14 @@
     }
     ledger.set_bytes(small, 400);
     ledger.set_bytes(large, 600);
-    assert_eq!(ledger.over_limit(), None);
+    assert_eq!(ledger.over_limit(false), None);
     ledger.set_bytes(small, 401);
-    assert_eq!(ledger.over_limit(), Some((large, 600)));
+    assert_eq!(ledger.over_limit(false), Some((large, 600)));
     ledger.close(large);
-    assert_eq!((ledger.over_limit(), ledger.total_bytes()), (None, 401));
+    assert_eq!(
+        (ledger.over_limit(false), ledger.total_bytes()),
+        (None, 401)
+    );
 }
 
 /// Many new connections must not take the memory of one that is being served, although each occupies less than it.
@@ -29,11 +32,11 @@
     for id in &new {
         ledger.set_bytes(*id, 50);
     }
-    assert_eq!(ledger.over_limit(), None);
+    assert_eq!(ledger.over_limit(false), None);
     ledger.set_bytes(new[3], 60);
-    assert_eq!(ledger.over_limit(), Some((new[3], 60)));
+    assert_eq!(ledger.over_limit(false), Some((new[3], 60)));
     ledger.mark_established(new[3]);
-    assert_eq!(ledger.over_limit(), None);
+    assert_eq!(ledger.over_limit(false), None);
     ledger.set_bytes(new[3], 110);
-    assert_eq!(ledger.over_limit(), Some((established, 450)));
+    assert_eq!(ledger.over_limit(false), Some((established, 450)));
 }
--- a/crates/platform/src/frontend/mod.rs
+++ b/crates/platform/src/frontend/mod.rs
@@ -15,7 +15,7 @@
 use crate::shutdown::ShutdownPhase;
 use input_budget::InputBudget;
 use pointspindle_dispatcher::net::connection_registry::{ConnectionPermit, ConnectionRegistry};
-use pointspindle_transport::{BufferMeter, Listener, Socket, MAX_ACCEPT_QUEUE_FAILURES};
+use pointspindle_transport::{Listener, Socket, MAX_ACCEPT_QUEUE_FAILURES};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -40,8 +40,6 @@
     transactions: Arc<Mutex<HashSet<String>>>,
     /// Bounds the memory of incomplete requests.
     input_budget: Arc<InputBudget>,
-    /// Counts the bodies of complete requests until they are sent, with the limit from which on new ones are rejected.
-    request_bodies: BufferMeter,
 }
 
 impl Frontend {
@@ -54,7 +52,6 @@
         pause_detector: Arc<PauseDetector>,
     ) -> Self {
         let input_budget = InputBudget::new(core.clone(), settings.incomplete_request_bytes);
-        let request_bodies = BufferMeter::new(settings.request_body_bytes);
         Self {
             core,
             settings,
@@ -63,7 +60,6 @@
             pause_detector,
             transactions: Arc::default(),
             input_budget,
-            request_bodies,
         }
     }
 
--- a/crates/platform/src/frontend/session/incoming.rs
+++ b/crates/platform/src/frontend/session/incoming.rs
@@ -194,7 +194,8 @@
             let rejection = Outgoing::empty_response(id, HttpStatus::ServiceUnavailable);
             return self.reject_unless_run(id, &request, rejection);
         }
-        if !body.is_empty() && self.frontend.request_bodies.is_threshold_reached() {
+        let request_bodies = self.frontend.core.transport.memory.request_bodies();
+        if !body.is_empty() && request_bodies.is_threshold_reached() {
             self.frontend.core.record_over_budget();
             let retry_after = retry_after_lack_of_memory(&self.frontend.core);
             return self.reject_unless_run(id, &request, Outgoing::rejection(id, retry_after));
@@ -205,7 +206,7 @@
         };
         let body = match body.is_empty() {
             true => body,
-            false => self.frontend.request_bodies.track(body),
+            false => request_bodies.track(body),
         };
         let cancelled = self.cancelled.child_token();
         self.in_flight.retain(|_, token| !token.is_cancelled());
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod endpoint_discovery;
 pub mod frontend;
 pub mod lifecycle;
+pub mod memory;
 mod pause_detector;
 pub mod settings;
 mod shutdown;
--- a/crates/platform/src/lifecycle.rs
+++ b/crates/platform/src/lifecycle.rs
@@ -8,6 +8,7 @@
 use crate::connection_pool::{connect_requested, run_maintenance, ConnectionPool, PlatformCore};
 use crate::endpoint_discovery::{lock_state, stream, DiscoveryState};
 use crate::frontend::{accept, Frontend};
+use crate::memory::{run_samples, MemoryMonitor, ReleaseFreeMemory};
 use crate::pause_detector::{run_ticks, PauseDetector};
 use crate::settings::{PlatformSettings, PlatformSettingsError};
 use crate::shutdown::{ShutdownPhase, ShutdownSchedule};
@@ -73,8 +74,12 @@
 }
 
 /// Runs a dispatcher until SIGTERM or SIGINT and returns when all requests have their response. `listen` overrides the
-/// listen address of the configuration.
-pub async fn run(file: PathBuf, listen: Option<String>) -> Result<(), RunError> {
+/// listen address of the configuration. `release_free_memory` is called while memory is short.
+pub async fn run(
+    file: PathBuf,
+    listen: Option<String>,
+    release_free_memory: ReleaseFreeMemory,
+) -> Result<(), RunError> {
     let clock = WallClock::start();
     let Signals {
         mut terminate,
@@ -86,10 +91,16 @@
     let address = listen_address(listen, &settings)?;
     let pause_detector = PauseDetector::new(Instant::now());
     let (connect_requests, requested) = mpsc::unbounded_channel();
-    let core = new_core(&settings, &pause_detector, connect_requests);
+    let core = new_core(
+        &settings,
+        &pause_detector,
+        connect_requests,
+        release_free_memory,
+    );
     let mut background = JoinSet::new();
     background.spawn(run_timers(core.clone()));
     background.spawn(run_maintenance(core.clone()));
+    background.spawn(run_samples(core.transport.memory.clone()));
     background.spawn(log_status(core.clone(), clock));
     background.spawn(connect_requested(core.clone(), requested));
 
@@ -174,10 +185,12 @@
     settings: &PlatformSettings,
     pause_detector: &Arc<PauseDetector>,
     connect_requests: mpsc::UnboundedSender<String>,
+    release_free_memory: ReleaseFreeMemory,
 ) -> Arc<PlatformCore> {
     let dispatcher = Arc::new(settings.dispatcher.clone());
     Arc::new(CoreHandle::new(dispatcher, settings.seed, |meter| {
-        ConnectionPool::new(settings, meter, pause_detector.clone(), connect_requests)
+        let memory = MemoryMonitor::new(settings, meter, release_free_memory);
+        ConnectionPool::new(settings, memory, pause_detector.clone(), connect_requests)
     }))
 }
 
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,6 +1,6 @@
 //! Translates the start configuration into the settings of a dispatcher, with limits on connections, requests and
 //! memory from the resource limits and a role for each kind of endpoint.
-use pointspindle::RouterSettings;
+use pointspindle::{RouterSettings, DEFAULT_MAX_KNOWN_COPIES, KNOWN_COPY_BYTES};
 use pointspindle_config::{
     ClassSettings, DispatcherSettings, ListenSettings, Role, UpstreamSettings,
 };
@@ -45,6 +45,8 @@
 const INCOMPLETE_REQUEST_MEMORY_DIVISOR: u64 = 8;
 /// Divisor of the memory limit that gives the memory for the bodies of complete requests.
 const REQUEST_BODY_MEMORY_DIVISOR: u64 = 8;
+/// Divisor of the memory limit that gives the memory for the index of copies.
+const KNOWN_COPIES_MEMORY_DIVISOR: u64 = 12;
 /// Divisor of the limit on endpoint connections that gives the limit for one endpoint.
 const ENDPOINT_SHARE_DIVISOR: usize = 4;
 
@@ -63,6 +65,8 @@
     pub max_connections: usize,
     /// Largest number of connections to one endpoint.
     pub max_connections_per_endpoint: usize,
+    /// Limit on the resident memory of the process.
+    pub memory_bytes: u64,
     /// Largest number of bytes that incomplete requests of clients occupy.
     pub incomplete_request_bytes: usize,
     /// Number of bytes in bodies of complete requests from which on new requests with a body are rejected.
@@ -137,6 +141,7 @@
             kinds,
             max_connections,
             max_connections_per_endpoint: (max_connections / ENDPOINT_SHARE_DIVISOR).max(1),
+            memory_bytes,
             incomplete_request_bytes: (memory_bytes / INCOMPLETE_REQUEST_MEMORY_DIVISOR) as usize,
             request_body_bytes: memory_bytes / REQUEST_BODY_MEMORY_DIVISOR,
             seed: u64::from_str_radix(&start.seed, 16).unwrap_or_default(),
@@ -210,6 +215,9 @@
     router.origin_kind = router.origin_kind.map(|_| Role::Origin.kind());
     // The rate counts bytes on the connection, whereas the KB of the settings need not be of such bytes.
     router.stream_kb_per_s = start.response_bytes_per_s / 1024.0;
+    let memory_bytes = start.limits.memory_mb * BYTES_PER_MB;
+    let copies_memory = (memory_bytes / KNOWN_COPIES_MEMORY_DIVISOR) as usize;
+    router.max_known_copies = DEFAULT_MAX_KNOWN_COPIES.min(copies_memory / KNOWN_COPY_BYTES);
 }
 
 fn class_rules(
--- a/crates/transport/src/buffer_meter.rs
+++ b/crates/transport/src/buffer_meter.rs
@@ -1,6 +1,6 @@
 //! Counting of the body bytes that connections buffer, between the read from one peer and the write to the other.
 use bytes::Bytes;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use tokio::sync::Notify;
 
@@ -20,7 +20,11 @@
 #[derive(Debug, Default)]
 struct Buffered {
     bytes: AtomicU64,
-    /// Signals that the number of bytes has fallen below the limit.
+    /// Part of `bytes` that is announced and not received yet.
+    unreceived: AtomicU64,
+    /// Whether the owner of the meter has no memory left, whatever the number of bytes is.
+    is_exhausted: AtomicBool,
+    /// Signals that the limit is not reached any more.
     below_limit: Notify,
 }
 
@@ -52,14 +56,50 @@
         self.buffered.bytes.load(Ordering::Relaxed)
     }
 
-    /// Whether the threshold is reached.
+    /// Returns the number of bytes for the admission of new work: the largest number while memory is exhausted.
+    pub fn admission_bytes(&self) -> u64 {
+        match self.is_exhausted() {
+            true => u64::MAX,
+            false => self.buffered_bytes(),
+        }
+    }
+
+    /// Returns the number of bytes that are counted already and not received yet.
+    pub fn unreceived_bytes(&self) -> u64 {
+        self.buffered.unreceived.load(Ordering::Relaxed)
+    }
+
+    /// Whether the threshold is reached, or memory is exhausted.
     pub fn is_threshold_reached(&self) -> bool {
-        self.buffered_bytes() >= self.threshold_bytes
+        self.is_exhausted() || self.buffered_bytes() >= self.threshold_bytes
     }
 
-    /// Whether the limit is reached.
+    /// Whether the limit is reached, or memory is exhausted.
     pub fn is_limit_reached(&self) -> bool {
-        self.buffered_bytes() >= self.max_bytes
+        self.is_exhausted() || self.buffered_bytes() >= self.max_bytes
+    }
+
+    fn is_exhausted(&self) -> bool {
+        self.buffered.is_exhausted.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the owner of the meter has no memory left: the limits then count as reached, whatever the number of
+    /// bytes is.
+    pub fn set_exhausted(&self, is_exhausted: bool) {
+        let was_exhausted = self
+            .buffered
+            .is_exhausted
+            .swap(is_exhausted, Ordering::Relaxed);
+        if was_exhausted && !is_exhausted {
+            self.buffered.below_limit.notify_waiters();
+        }
+    }
+
+    /// Replaces the number of unreceived bytes of one body.
+    pub fn set_unreceived(&self, before: usize, now: usize) {
+        let unreceived = &self.buffered.unreceived;
+        unreceived.fetch_add(now as u64, Ordering::Relaxed);
+        unreceived.fetch_sub(before as u64, Ordering::Relaxed);
     }
 
     /// Waits until the limit is not reached. Cancel safe.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 //!     cache_slow_start: slow_start,
 //!     parent_slow_start: slow_start,
 //!     purge_horizon: 6_000_000,
+//!     max_known_copies: DEFAULT_MAX_KNOWN_COPIES,
 //! };
 //! let mut router = Router::new(settings, 42);
 //! let mut actions = Vec::new();
@@ -73,5 +74,5 @@
 pub use router::Router;
 pub use settings::{
     CacheStatusDetail, FleetPosition, Idempotency, KeyScope, RequestClass, RouterSettings,
-    Siblings, SlowStartRule, Weights, Zone,
+    Siblings, SlowStartRule, Weights, Zone, DEFAULT_MAX_KNOWN_COPIES, KNOWN_COPY_BYTES,
 };
--- a/src/router/copy_locations.rs
+++ b/src/router/copy_locations.rs
@@ -4,8 +4,8 @@
 use crate::ids::{EndpointId, ObjectId};
 use std::collections::BTreeMap;
 
-/// Number of copies in one generation; the index holds two generations.
-const GENERATION_SIZE: usize = 50_000;
+/// Number of generations that the index holds.
+const GENERATIONS: usize = 2;
 
 /// Identifies a cached copy: one part of an object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,15 +32,26 @@
 /// Maps each copy to the cache that last served it, in two generations of bounded size.
 ///
 /// A copy that is not served again is evicted when the generation that follows its own is full.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct CopyLocations {
+    /// Largest number of copies in one generation.
+    generation_size: usize,
     newer: BTreeMap<CopyKey, EndpointId>,
     older: BTreeMap<CopyKey, EndpointId>,
 }
 
 impl CopyLocations {
+    /// Creates an empty index of at most `max_copies` copies.
+    pub(super) fn new(max_copies: usize) -> Self {
+        Self {
+            generation_size: (max_copies / GENERATIONS).max(1),
+            newer: BTreeMap::new(),
+            older: BTreeMap::new(),
+        }
+    }
+
     pub(super) fn record(&mut self, copy: CopyKey, cache: EndpointId) {
-        if self.newer.len() >= GENERATION_SIZE {
+        if self.newer.len() >= self.generation_size {
             std::mem::swap(&mut self.newer, &mut self.older);
             self.newer.clear();
         }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -91,7 +91,7 @@
             recent_demand: RecentDemand::default(),
             fill_limit: ConcurrencyLimit::of_fills(),
             purges: PurgeLog::new(settings.purge_horizon),
-            copy_locations: CopyLocations::default(),
+            copy_locations: CopyLocations::new(settings.max_known_copies),
             settings,
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,12 @@
 //! Settings of a [`Router`](crate::Router), which are fixed when it is created, and its position among all routers.
 use crate::ids::Micros;
 
+/// Number of copies whose last server is remembered where memory is not short.
+pub const DEFAULT_MAX_KNOWN_COPIES: usize = 100_000;
+
+/// Memory that the router takes for each copy whose last server it remembers, in bytes.
+pub const KNOWN_COPY_BYTES: usize = 48;
+
 /// How often a request of a class may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
@@ -145,6 +151,8 @@
     pub parent_slow_start: SlowStartRule,
     /// Time after a purge by which no copy older than the purge exists at any endpoint.
     pub purge_horizon: Micros,
+    /// Largest number of copies whose last server is remembered; each takes [`KNOWN_COPY_BYTES`].
+    pub max_known_copies: usize,
 }
 
 /// Position of a router among all routers. Replaces the counts in the settings when membership changes.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -74,6 +74,7 @@
             overload_window: 2 * S,
         },
         purge_horizon: 6 * S,
+        max_known_copies: DEFAULT_MAX_KNOWN_COPIES,
     }
 }
 
