Write cancellations before other requests and while memory is short, and wait for them

Cause: a connection without a body under way was neither read nor written during such a pause, so the KILL stayed in its queue, while a connection in the middle of a body carried the next attempt. Attempts counted as ended before their endpoint could know it. Change: cancellations have a queue of their own, before requests that have not begun, and are written during the pause. The next attempt of a request waits for them; a connection that cannot write one for 100 ms is closed. Input that arrives during the pause is reported to the router, so that hosts whose responses are not read are not taken for silent.

--- a/crates/dispatcher/src/core/control_events.rs
+++ b/crates/dispatcher/src/core/control_events.rs
@@ -115,6 +115,17 @@
         self.process_event(now, event, outputs);
     }
 
+    pub(super) fn on_endpoint_active(
+        &mut self,
+        now: Micros,
+        endpoint: &str,
+        outputs: &mut Vec<Output>,
+    ) {
+        let endpoint = EndpointId::named(endpoint);
+        self.endpoints.mark_seen(now, endpoint);
+        self.process_event(now, Event::ResponseStarted(endpoint), outputs);
+    }
+
     pub(super) fn on_lease(
         &mut self,
         now: Micros,
--- a/crates/dispatcher/src/core/input.rs
+++ b/crates/dispatcher/src/core/input.rs
@@ -71,6 +71,11 @@
         /// How the attempt ended.
         end: AttemptEnd,
     },
+    /// An endpoint has sent something that is not read yet: it is not silent, although no response of it has arrived.
+    EndpointActive {
+        /// Name of the endpoint, as in [`Input::Hello`].
+        endpoint: String,
+    },
     /// The client has disconnected, or its response ended with an error on the client's side.
     ClientDisconnected(u64),
     /// The process is shutting down: every request whose response is not being forwarded yet gets its final response now.
--- a/crates/dispatcher/src/core/mod.rs
+++ b/crates/dispatcher/src/core/mod.rs
@@ -172,6 +172,7 @@
                 attempt,
                 end,
             } => self.end_attempt(now, request, attempt, end.into(), outputs),
+            Input::EndpointActive { endpoint } => self.on_endpoint_active(now, &endpoint, outputs),
             Input::ClientDisconnected(request) => {
                 self.on_client_disconnected(now, request, outputs)
             }
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -7,15 +7,18 @@
 //! A request that is dropped before its first byte is sent is removed from the queue. If all its bytes are sent, a
 //! cancellation follows. If a part of its bytes is sent, the rest and a cancellation follow; if the endpoint does not
 //! accept the rest, the connection is closed ([`Connection::close_if_unusable`]), so that the endpoint never receives
-//! the complete request. When the connection ends, each request ends with an error that says whether it may have run.
+//! the complete request. Cancellations are written before requests that have not begun, also while responses are not read
+//! for lack of memory, and the next attempt of a request waits for them ([`cancellation`]). When the connection ends, each request ends with an error that says whether it may have run.
 //!
 //! The state consists of an entry for each request in flight, which is removed when the request ends, the queue of
 //! writes, and a limited number of ids of requests that ended recently, whose responses may still arrive.
+mod cancellation;
 mod in_flight_request;
 mod metered_codec;
 mod state;
 mod write_queue;
 
+pub(crate) use cancellation::{UnwrittenCancellations, CANCELLATION_TIMEOUT};
 pub(crate) use in_flight_request::InFlightRequest;
 pub(crate) use state::RequestError;
 pub(crate) use write_queue::{EncodedRequest, RequestEncoder};
@@ -65,10 +68,10 @@
 }
 
 impl Connection {
-    /// Creates an open connection without requests.
-    pub fn new() -> Arc<Self> {
+    /// Creates an open connection without requests. Its cancellations are recorded until they are written.
+    pub fn new(cancellations: Arc<UnwrittenCancellations>) -> Arc<Self> {
         Arc::new(Self {
-            state: Mutex::new(ConnectionState::new(Instant::now())),
+            state: Mutex::new(ConnectionState::new(Instant::now(), cancellations)),
             write_pending: Notify::new(),
             close_requested: Notify::new(),
         })
@@ -129,8 +132,8 @@
         is_idle
     }
 
-    /// Closes the connection if it has been receiving an orphaned response, or has been unable to send the rest of a
-    /// cancelled request, for the respective time-out. Returns whether it does.
+    /// Closes the connection if it has been receiving an orphaned response, or has been unable to send a cancellation or
+    /// the rest of a cancelled request, for the respective time-out. Returns whether it does.
     pub fn close_if_unusable(&self, orphan_timeout: Duration, unsent_timeout: Duration) -> bool {
         let mut state = self.lock();
         let is_blocked = state
@@ -139,6 +142,7 @@
         let is_stalled = state
             .write_queue
             .cancelled_since()
+            .or(state.write_queue.oldest_cancellation())
             .is_some_and(|since| since.elapsed() >= unsent_timeout);
         let is_unusable = is_blocked || is_stalled;
         state.is_open &= !is_unusable;
@@ -190,7 +194,7 @@
     /// one.
     fn prepare_write(&self) -> bool {
         loop {
-            let next = self.lock().write_queue.begin_next();
+            let next = self.lock().begin_next_write();
             let (id, mut encode) = match next {
                 NextWrite::Current => return true,
                 NextWrite::Empty => return false,
@@ -226,11 +230,13 @@
     /// Reads and writes until the connection ends. Returns the reason, or `None` if the dispatcher closed the
     /// connection.
     ///
-    /// While the limit of buffered bytes is reached, no further response is read, and nothing is written.
+    /// While the limit of buffered bytes is reached, no further response is read, and no request begins. The endpoint is
+    /// not silent meanwhile: `on_input_in_pause` is called when input has arrived.
     pub async fn run(
         self: Arc<Self>,
         socket: TcpStream,
         memory: Arc<MemoryMonitor>,
+        on_input_in_pause: impl Fn(),
     ) -> Option<String> {
         let meter = memory.responses().clone();
         let (read, write) = socket.into_split();
@@ -242,11 +248,18 @@
             memory.check_growth();
             let is_paused = is_paused(&responses, &meter);
             let has_writes = self.lock().set_paused(is_paused, Instant::now());
+            let awaits_input = !is_paused || !self.lock().has_input_in_pause;
             tokio::select! {
                 biased;
                 _ = self.close_requested.notified() => break None,
-                event = next_event(&mut responses, &meter), if !is_paused => match event {
+                event = next_event(&mut responses, &meter, is_paused), if awaits_input => match event {
                     ReadEvent::Paused => {}
+                    ReadEvent::InputInPause { is_closed } => {
+                        self.lock().has_input_in_pause = true;
+                        if !is_closed {
+                            on_input_in_pause();
+                        }
+                    }
                     ReadEvent::Response(response) => self.handle_response(response),
                     ReadEvent::Failed(error) => break Some(error.to_string()),
                     ReadEvent::Closed => break Some("closed by the endpoint".to_owned()),
@@ -282,6 +295,10 @@
     Closed,
     /// The limit of buffered bytes is reached, and no further response is read.
     Paused,
+    /// During a pause, input has arrived that is not read yet, or the endpoint has closed the connection.
+    InputInPause {
+        is_closed: bool,
+    },
 }
 
 /// Whether no response may be read because the limit of buffered bytes is reached. A response whose body is counted
@@ -292,7 +309,15 @@
 
 /// Waits for the next event. The limit is checked whenever input has arrived, since other connections may have reached
 /// it during the wait. Cancel safe.
-async fn next_event(responses: &mut ResponseReader, meter: &BufferMeter) -> ReadEvent {
+async fn next_event(
+    responses: &mut ResponseReader,
+    meter: &BufferMeter,
+    is_paused_now: bool,
+) -> ReadEvent {
+    if is_paused_now {
+        let is_closed = !responses.get_mut().input_arrived().await;
+        return ReadEvent::InputInPause { is_closed };
+    }
     std::future::poll_fn(|context| {
         if is_paused(responses, meter) {
             return Poll::Ready(ReadEvent::Paused);
--- a/crates/platform/src/connection/state.rs
+++ b/crates/platform/src/connection/state.rs
@@ -1,10 +1,12 @@
 //! State of a connection: the requests in flight and the progress of their responses.
+use super::cancellation::UnwrittenCancellations;
 use super::encode_cancellation;
-use super::write_queue::{EncodedRequest, RequestEncoder, WriteQueue};
+use super::write_queue::{EncodedRequest, NextWrite, RequestEncoder, RequestStarts, WriteQueue};
 use pointspindle_dispatcher::keep_alive::KeepAlive;
 use pointspindle_platform_protocol::line_protocol::CacheResponse;
 use std::collections::{HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -70,11 +72,14 @@
     pub keep_alive: KeepAlive,
     /// Whether responses are not read for lack of memory. The endpoint is not blamed for the silence meanwhile.
     pub is_paused: bool,
+    /// Whether input has arrived during the pause.
+    pub has_input_in_pause: bool,
+    cancellations: Arc<UnwrittenCancellations>,
 }
 
 impl ConnectionState {
     /// Creates the state of an open connection without requests.
-    pub fn new(now: Instant) -> Self {
+    pub fn new(now: Instant, cancellations: Arc<UnwrittenCancellations>) -> Self {
         Self {
             is_open: true,
             in_flight: HashMap::new(),
@@ -85,6 +90,8 @@
             last_used: now,
             keep_alive: KeepAlive::default(),
             is_paused: false,
+            has_input_in_pause: false,
+            cancellations,
         }
     }
 
@@ -109,12 +116,28 @@
         is_available.then_some(in_flight)
     }
 
-    /// Records whether responses are not read for lack of memory. Returns whether there is a write that may continue.
+    /// Records whether responses are not read for lack of memory. Returns whether there is a write that may begin or
+    /// continue.
     pub fn set_paused(&mut self, is_paused: bool, now: Instant) -> bool {
         if std::mem::replace(&mut self.is_paused, is_paused) && !is_paused {
             self.last_received = now;
+            self.has_input_in_pause = false;
         }
-        !is_paused && self.write_queue.has_writes()
+        self.write_queue.has_writes(self.request_starts())
+    }
+
+    /// Returns whether requests may begin.
+    pub fn request_starts(&self) -> RequestStarts {
+        match self.is_paused {
+            true => RequestStarts::Paused,
+            false => RequestStarts::Allowed,
+        }
+    }
+
+    /// Returns the current write, or begins the next one that may begin.
+    pub fn begin_next_write(&mut self) -> NextWrite {
+        let starts = self.request_starts();
+        self.write_queue.begin_next(starts)
     }
 
     /// Queues a request. Returns `None` if the connection is closed or the id is in flight.
@@ -224,7 +247,9 @@
         }
         // The rest of a partly written request must be sent, or the endpoint could not parse the next line.
         self.write_queue.cancel_current(id, now);
-        self.write_queue.push_control(encode_cancellation(id));
+        let cancellation = self.cancellations.add(id);
+        self.write_queue
+            .push_cancellation(encode_cancellation(id), cancellation);
         self.remember_ended(id);
         // The response becomes orphaned now, however long it has been arriving.
         if let Some(incoming) = self.incoming.as_mut().filter(|incoming| incoming.id == id) {
--- a/crates/platform/src/connection/tests.rs
+++ b/crates/platform/src/connection/tests.rs
@@ -45,7 +45,7 @@
 
 #[tokio::test]
 async fn connection_end_reports_whether_each_request_may_have_run() {
-    let connection = Connection::new();
+    let connection = Connection::new(Arc::default());
     let mut written = send(&connection, "a");
     let mut completed = send(&connection, "b");
     write_all(&connection);
@@ -68,7 +68,7 @@
 
 #[tokio::test]
 async fn dropped_request_unsent_is_removed_and_sent_is_cancelled() {
-    let connection = Connection::new();
+    let connection = Connection::new(Arc::default());
     drop(send(&connection, "a"));
     assert!(queued(&connection).is_empty() && connection.in_flight_if_available("a", 1) == Some(0));
     let request = send(&connection, "b");
@@ -89,7 +89,7 @@
 /// The state of a long-lived connection must not grow with the number of requests that it has carried.
 #[tokio::test]
 async fn connection_many_finished_requests_retains_bounded_state() {
-    let connection = Connection::new();
+    let connection = Connection::new(Arc::default());
     for n in 0..100_000 {
         let id = format!("{n:016x}");
         let mut request = send(&connection, &id);
@@ -119,8 +119,12 @@
         .set_send_buffer_size(4_096)
         .unwrap();
     let (peer, _) = listener.accept().await.unwrap();
-    let connection = Connection::new();
-    let task = tokio::spawn(connection.clone().run(socket, MemoryMonitor::unlimited()));
+    let connection = Connection::new(Arc::default());
+    let task = tokio::spawn(
+        connection
+            .clone()
+            .run(socket, MemoryMonitor::unlimited(), || {}),
+    );
     (connection, peer, task)
 }
 
@@ -208,7 +212,7 @@
 #[tokio::test]
 async fn orphan_timeout_begins_with_the_cancellation() {
     const TIMEOUT: Duration = Duration::from_millis(700);
-    let connection = Connection::new();
+    let connection = Connection::new(Arc::default());
     let cancelled = send(&connection, "large");
     let _other = send(&connection, "other");
     write_all(&connection);
@@ -223,7 +227,7 @@
 
 #[tokio::test]
 async fn close_if_idle_closes_idle_connection_and_keeps_busy_one() {
-    let connection = Connection::new();
+    let connection = Connection::new(Arc::default());
     let request = send(&connection, "a");
     assert!(!connection.close_if_idle() && connection.in_flight_if_available("b", 9) == Some(1));
     drop(request);
--- a/crates/platform/src/connection/write_queue.rs
+++ b/crates/platform/src/connection/write_queue.rs
@@ -1,5 +1,6 @@
 //! The ordered queue of writes of a connection: requests, which are encoded right before their first byte is sent, and
-//! control messages.
+//! control messages, which are written before the requests that have not begun.
+use super::cancellation::UnwrittenCancellation;
 use bytes::{Buf, Bytes, BytesMut};
 use pointspindle_platform_protocol::line_protocol::LINE_END;
 use std::collections::VecDeque;
@@ -36,9 +37,24 @@
 /// Encodes a request right before its first byte is sent. Returns `None` if the request must not begin any more.
 pub(crate) type RequestEncoder = Box<dyn FnMut() -> Option<EncodedRequest> + Send>;
 
-enum QueuedWrite {
-    Request { id: String, encode: RequestEncoder },
-    Control(Bytes),
+struct QueuedRequest {
+    id: String,
+    encode: RequestEncoder,
+}
+
+struct ControlMessage {
+    bytes: Bytes,
+    /// Present if the message is a cancellation.
+    cancellation: Option<UnwrittenCancellation>,
+}
+
+/// Whether requests may begin, or only what is written without them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestStarts {
+    /// Requests may begin.
+    Allowed,
+    /// Responses are not read for lack of memory: only control messages and the rest of a request are written.
+    Paused,
 }
 
 /// A write in progress.
@@ -49,6 +65,8 @@
     reencode: Option<RequestEncoder>,
     /// Pieces that are not sent yet.
     unsent: VecDeque<Bytes>,
+    /// Present if the write is a cancellation.
+    cancellation: Option<UnwrittenCancellation>,
     /// Time at which the request was cancelled while it was partly sent.
     cancelled_at: Option<Instant>,
 }
@@ -66,49 +84,65 @@
 /// Queue of writes; see the documentation of the module.
 #[derive(Default)]
 pub(super) struct WriteQueue {
-    queue: VecDeque<QueuedWrite>,
+    control_messages: VecDeque<ControlMessage>,
+    requests: VecDeque<QueuedRequest>,
     current: Option<CurrentWrite>,
 }
 
 impl WriteQueue {
     /// Queues a request.
     pub fn push_request(&mut self, id: String, encode: RequestEncoder) {
-        self.queue.push_back(QueuedWrite::Request { id, encode });
+        self.requests.push_back(QueuedRequest { id, encode });
     }
 
     /// Queues an encoded control message.
     pub fn push_control(&mut self, bytes: Bytes) {
-        self.queue.push_back(QueuedWrite::Control(bytes));
+        self.control_messages.push_back(ControlMessage {
+            bytes,
+            cancellation: None,
+        });
     }
 
-    /// Returns whether a write is in progress or queued.
-    pub fn has_writes(&self) -> bool {
-        self.current.is_some() || !self.queue.is_empty()
+    /// Queues an encoded cancellation.
+    pub fn push_cancellation(&mut self, bytes: Bytes, cancellation: UnwrittenCancellation) {
+        self.control_messages.push_back(ControlMessage {
+            bytes,
+            cancellation: Some(cancellation),
+        });
+    }
+
+    /// Returns whether a write is in progress or may begin.
+    pub fn has_writes(&self, starts: RequestStarts) -> bool {
+        let may_begin = starts == RequestStarts::Allowed && !self.requests.is_empty();
+        self.current.is_some() || !self.control_messages.is_empty() || may_begin
     }
 
     /// Returns whether no write is in progress and a request is first in the queue.
     pub fn is_next_a_request(&self) -> bool {
-        let is_request = matches!(self.queue.front(), Some(QueuedWrite::Request { .. }));
-        is_request && self.current.is_none()
+        self.current.is_none() && self.control_messages.is_empty() && !self.requests.is_empty()
     }
 
     /// Begins the next write of the queue, unless a write is in progress.
-    pub fn begin_next(&mut self) -> NextWrite {
+    pub fn begin_next(&mut self, starts: RequestStarts) -> NextWrite {
         if self.current.is_some() {
             return NextWrite::Current;
         }
-        match self.queue.pop_front() {
+        if let Some(message) = self.control_messages.pop_front() {
+            self.current = Some(CurrentWrite {
+                request_id: None,
+                reencode: None,
+                unsent: VecDeque::from([message.bytes]),
+                cancellation: message.cancellation,
+                cancelled_at: None,
+            });
+            return NextWrite::Current;
+        }
+        if starts == RequestStarts::Paused {
+            return NextWrite::Empty;
+        }
+        match self.requests.pop_front() {
             None => NextWrite::Empty,
-            Some(QueuedWrite::Request { id, encode }) => NextWrite::Request { id, encode },
-            Some(QueuedWrite::Control(unsent)) => {
-                self.current = Some(CurrentWrite {
-                    request_id: None,
-                    reencode: None,
-                    unsent: VecDeque::from([unsent]),
-                    cancelled_at: None,
-                });
-                NextWrite::Current
-            }
+            Some(QueuedRequest { id, encode }) => NextWrite::Request { id, encode },
         }
     }
 
@@ -118,6 +152,7 @@
             request_id: Some(id),
             reencode: Some(encode),
             unsent: encoded.into_pieces(),
+            cancellation: None,
             cancelled_at: None,
         });
     }
@@ -146,7 +181,7 @@
         };
         match (current.request_id.take(), current.reencode.take()) {
             (Some(id), Some(encode)) => {
-                self.queue.push_front(QueuedWrite::Request { id, encode });
+                self.requests.push_front(QueuedRequest { id, encode });
             }
             (request_id, _) => {
                 self.current = Some(CurrentWrite {
@@ -159,11 +194,9 @@
 
     /// Removes a request that has not begun. Returns whether there was one.
     pub fn remove_request(&mut self, id: &str) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(
-            |write| !matches!(write, QueuedWrite::Request { id: queued, .. } if queued == id),
-        );
-        self.queue.len() < before
+        let before = self.requests.len();
+        self.requests.retain(|request| request.id != id);
+        self.requests.len() < before
     }
 
     /// Records that the request is cancelled, if it is the current write.
@@ -182,20 +215,35 @@
             .and_then(|current| current.cancelled_at)
     }
 
+    /// Returns the time since which the oldest cancellation has not been written.
+    pub fn oldest_cancellation(&self) -> Option<Instant> {
+        let current = self.current.iter().filter_map(|c| c.cancellation.as_ref());
+        let queued = self.control_messages.iter();
+        let queued = queued.filter_map(|message| message.cancellation.as_ref());
+        current.chain(queued).map(|c| c.since).min()
+    }
+
     /// Drops all writes.
     pub fn clear(&mut self) {
-        self.queue.clear();
+        self.control_messages.clear();
+        self.requests.clear();
         self.current = None;
     }
 
-    /// Returns the queue as text, with requests as `PULL id`.
+    /// Returns whether a part of a request is sent and the rest is not.
+    #[cfg(test)]
+    pub fn is_partly_sent(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|c| c.request_id.is_some() && c.reencode.is_none())
+    }
+
+    /// Returns the queue as text, in the order in which it is written, with requests as `PULL id`.
     #[cfg(test)]
     pub fn queued(&self) -> Vec<String> {
-        let text = |write: &QueuedWrite| match write {
-            QueuedWrite::Request { id, .. } => format!("PULL {id}"),
-            QueuedWrite::Control(bytes) => String::from_utf8_lossy(bytes).into_owned(),
-        };
-        self.queue.iter().map(text).collect()
+        let messages = self.control_messages.iter();
+        let messages = messages.map(|m| String::from_utf8_lossy(&m.bytes).into_owned());
+        let requests = self.requests.iter().map(|r| format!("PULL {}", r.id));
+        messages.chain(requests).collect()
     }
 }
 
--- a/crates/platform/src/connection_pool/call.rs
+++ b/crates/platform/src/connection_pool/call.rs
@@ -38,6 +38,8 @@
     ) -> Result<LineProtocolCall, AttemptEnd> {
         // Cancellations that arrived while the process was paused are handled first, since they may end this attempt.
         core.transport.pause_detector.caught_up().await;
+        // The endpoint of the previous attempt must have been told that it is given up.
+        core.transport.cancellations.written(&request.trace).await;
         let connection = Self::acquire(core, attempt, endpoint, &request.trace).await?;
         let request_id = request.trace.clone();
         let client_validator = request.if_none_match.clone();
--- a/crates/platform/src/connection_pool/connector.rs
+++ b/crates/platform/src/connection_pool/connector.rs
@@ -1,6 +1,7 @@
 //! Opens connections to endpoints and runs them until they end.
 use super::{ConnectionPool, PlatformCore};
 use crate::connection::Connection;
+use pointspindle_dispatcher::core::Input;
 use pointspindle_transport::{ConnectFailure, Network, Socket};
 use rand::Rng;
 use std::sync::Arc;
@@ -42,7 +43,7 @@
     let pool = &core.transport;
     tokio::time::sleep(delay).await;
     let result = pool.open_socket(&id).await;
-    let connection = Connection::new();
+    let connection = Connection::new(pool.cancellations.clone());
     pool.connect_finished(&id, &connection, &result);
     let socket = match result {
         Some(Ok(Socket::Tcp(socket))) => socket,
@@ -52,7 +53,15 @@
         _ => return,
     };
     let _ = socket.set_nodelay(true);
-    let reason = connection.clone().run(socket, pool.memory.clone()).await;
+    let on_input_in_pause = || {
+        core.apply(Input::EndpointActive {
+            endpoint: id.clone(),
+        })
+    };
+    let running = connection
+        .clone()
+        .run(socket, pool.memory.clone(), on_input_in_pause);
+    let reason = running.await;
     pool.connection_ended(&id, &connection, reason.is_some());
     if let Some(reason) = reason {
         tracing::debug!(endpoint = id, reason, "endpoint connection ended");
--- a/crates/platform/src/connection_pool/maintenance.rs
+++ b/crates/platform/src/connection_pool/maintenance.rs
@@ -1,7 +1,7 @@
 //! Periodic maintenance of the pool: closes connections that are idle, unusable or to removed endpoints, performs the
 //! keep-alive checks, and drops removed endpoints.
 use super::{ConnectionPool, PlatformCore};
-use crate::connection::Connection;
+use crate::connection::{Connection, CANCELLATION_TIMEOUT};
 use pointspindle::Micros;
 use pointspindle_dispatcher::keep_alive::{KeepAliveAction, KeepAliveRule};
 use std::sync::Arc;
@@ -9,9 +9,6 @@
 use tokio::time::Instant;
 
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time within which the rest of a request that was cancelled while it was partly sent must be sent, or its connection
-/// is closed.
-const UNSENT_REST_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which idle connections beyond the first of an endpoint are closed.
 const SPARE_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -40,11 +37,12 @@
         for (id, endpoint) in &state.endpoints {
             let mut idle_connections = 0;
             for connection in &endpoint.connections {
-                if connection.close_if_unusable(pass.orphaned_response_timeout, UNSENT_REST_TIMEOUT)
+                if connection
+                    .close_if_unusable(pass.orphaned_response_timeout, CANCELLATION_TIMEOUT)
                 {
                     tracing::info!(
                         endpoint = id,
-                        "endpoint connection closed: blocked by an orphaned response or an unsent cancelled request"
+                        "endpoint connection closed: blocked by an orphaned response or an unsent cancellation"
                     );
                 } else if let Some(since) = connection.idle_since() {
                     idle_connections += 1;
--- a/crates/platform/src/connection_pool/mod.rs
+++ b/crates/platform/src/connection_pool/mod.rs
@@ -21,7 +21,7 @@
 pub use connector::connect_requested;
 pub use maintenance::run_maintenance;
 
-use crate::connection::Connection;
+use crate::connection::{Connection, UnwrittenCancellations};
 use crate::memory::MemoryMonitor;
 use crate::pause_detector::PauseDetector;
 use crate::settings::PlatformSettings;
@@ -107,6 +107,8 @@
     max_connections_per_endpoint: usize,
     /// Memory of the process, which limits the responses that are received.
     pub memory: Arc<MemoryMonitor>,
+    /// Cancellations for which the next attempts of their requests wait.
+    cancellations: Arc<UnwrittenCancellations>,
     /// Origin of the pool's time values.
     started_at: Instant,
     pause_detector: Arc<PauseDetector>,
@@ -142,6 +144,7 @@
             max_connections: settings.max_connections,
             max_connections_per_endpoint: settings.max_connections_per_endpoint,
             memory,
+            cancellations: Arc::default(),
             started_at: Instant::now(),
             pause_detector,
             connect_requests,
--- a/crates/platform/src/memory/budget.rs
+++ b/crates/platform/src/memory/budget.rs
@@ -4,7 +4,7 @@
 //! program's file, tables, the state of requests and connections, and memory that the allocator retains.
 
 /// Divisor of the limit that gives the reserve below it: for what is allocated between two samples.
-const RESERVE_DIVISOR: u64 = 12;
+const RESERVE_DIVISOR: u64 = 10;
 /// Divisor of the limit that gives the bytes of requests and responses that are always admitted, so that memory that
 /// the allocator retains cannot stop the service.
 const ALWAYS_ADMITTED_DIVISOR: u64 = 32;
--- a/crates/transport/src/retrying_io.rs
+++ b/crates/transport/src/retrying_io.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Waits until bytes have arrived, which stay unread. Returns false if the peer has closed its direction or the socket
+    /// has failed. Cancel safe.
+    pub async fn input_arrived(&mut self) -> bool {
+        matches!(self.half.peek(&mut [0]).await, Ok(1..))
+    }
+
     /// Waits until the socket may have bytes to read or has failed. Cancel safe.
     pub async fn readable(&self) -> Result<()> {
         self.half.readable().await
