Bound the work that the input of clients causes, for each session and for all together

Cause: only bytes were bounded. A session polled its input first and handled every buffered record without a wait; each record cost a plan, five locks and a round through the ledger of all connections, and time-outs did not get their turn while input was there. Change: turns of 64 records or 4 reads; an allowance of records for each session, restored by complete requests, and one rate for all sessions beyond it; a reply that leads to no request counts as 16 records; records read together are handled with one plan; overdue time-outs take effect at the end of a turn. Endpoint connections and the discovery stream have turns too.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod graceful_shutdown;
 mod idempotency_keys;
+mod record_floods;
 mod request_deadline;
 mod request_forwarding;
 mod request_memory;
--- a/crates/platform/src/connection/mod.rs
+++ b/crates/platform/src/connection/mod.rs
@@ -48,6 +48,8 @@
 /// Initial capacity of the read buffer, which fits response lines; space for a body is reserved when its length is
 /// known.
 const READ_BUFFER_BYTES: usize = 2 * 1024;
+/// Number of responses that are handled before other tasks run.
+const TURN_RESPONSES: usize = 64;
 /// Id of health checks, which differs from all request ids: these have only hex digits.
 const HEALTH_CHECK_ID: &str = "sign";
 
@@ -244,6 +246,7 @@
         let read = RetryingReadHalf::new(read);
         let mut responses = FramedRead::with_capacity(read, codec, READ_BUFFER_BYTES);
         let mut has_yielded = false;
+        let mut responses_in_turn = 0;
         let reason = loop {
             memory.check_growth();
             let is_paused = is_paused(&responses, &meter);
@@ -260,7 +263,14 @@
                             on_input_in_pause();
                         }
                     }
-                    ReadEvent::Response(response) => self.handle_response(response),
+                    ReadEvent::Response(response) => {
+                        self.handle_response(response);
+                        responses_in_turn += 1;
+                        if responses_in_turn >= TURN_RESPONSES {
+                            responses_in_turn = 0;
+                            tokio::task::yield_now().await;
+                        }
+                    }
                     ReadEvent::Failed(error) => break Some(error.to_string()),
                     ReadEvent::Closed => break Some("closed by the endpoint".to_owned()),
                 },
--- a/crates/platform/src/endpoint_discovery/stream.rs
+++ b/crates/platform/src/endpoint_discovery/stream.rs
@@ -34,6 +34,9 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(10);
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
+/// Number of items of a stream that are handled before other tasks run.
+const TURN_ITEMS: usize = 32;
+
 /// Error that ends a stream.
 #[derive(Debug, thiserror::Error)]
 enum StreamError {
@@ -196,8 +199,13 @@
             continue;
         };
         buffer.extend_from_slice(&data);
+        let mut items_in_turn = 0;
         while let Some(item) = codec.decode(&mut buffer)? {
             received.send_replace(true);
+            items_in_turn += 1;
+            if items_in_turn % TURN_ITEMS == 0 {
+                tokio::task::yield_now().await;
+            }
             if let ServerSentEvent::Event { id, data } = item {
                 let mut event: DiscoveryEvent = serde_json::from_str(&data)?;
                 event.revision = id.unwrap_or(event.revision);
--- a/crates/platform/src/frontend/mod.rs
+++ b/crates/platform/src/frontend/mod.rs
@@ -2,6 +2,7 @@
 mod client_stream;
 mod input_budget;
 mod input_ledger;
+mod input_pace;
 mod request_task;
 mod response_writer;
 mod session;
@@ -14,6 +15,7 @@
 use crate::settings::PlatformSettings;
 use crate::shutdown::ShutdownPhase;
 use input_budget::InputBudget;
+use input_pace::SharedPace;
 use pointspindle_dispatcher::net::connection_registry::{ConnectionPermit, ConnectionRegistry};
 use pointspindle_transport::{Listener, Socket, MAX_ACCEPT_QUEUE_FAILURES};
 use std::collections::HashSet;
@@ -40,6 +42,8 @@
     transactions: Arc<Mutex<HashSet<String>>>,
     /// Bounds the memory of incomplete requests.
     input_budget: Arc<InputBudget>,
+    /// Bounds the work for records that lead to no request.
+    input_pace: Arc<SharedPace>,
 }
 
 impl Frontend {
@@ -60,6 +64,7 @@
             pause_detector,
             transactions: Arc::default(),
             input_budget,
+            input_pace: Arc::default(),
         }
     }
 
--- a/crates/platform/src/frontend/session.rs
+++ b/crates/platform/src/frontend/session.rs
@@ -17,9 +17,13 @@
 //!
 //! Before the dispatcher closes a connection for one of the last two reasons, it reads and serves what has already
 //! arrived.
+//!
+//! A session handles input in turns of a limited number of records and reads ([`super::input_pace`]). Other tasks run
+//! between them, and time-outs that are overdue then take effect although more input is there.
 mod incoming;
 
 use super::input_budget::InputAccount;
+use super::input_pace::SessionPace;
 use super::response_writer::{response_channel, ResponseSender};
 use super::session_input::{ImmediateInput, InputEvent, InputMode, SessionInput};
 use super::session_plan::{sleep_until, SessionDeadlines, SessionStatus, WaitPlan};
@@ -45,6 +49,8 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of times that input may delay the close of a session.
 const MAX_CLOSE_DELAYS: usize = 256;
+/// Time for which input may delay the time-out of incomplete requests.
+const MAX_TIMEOUT_DELAY: Duration = Duration::from_millis(100);
 
 /// Serves a connection until it ends.
 pub(super) async fn run(
@@ -102,6 +108,8 @@
     /// The connection is evicted for a new one, or has been idle for too long.
     CloseRequested,
     IncompleteTimeout,
+    /// Input may be handled again.
+    InputResumed,
     /// The session has to make a new plan.
     PlanChanged,
 }
@@ -120,6 +128,9 @@
     requests: Arc<SessionRequests>,
     responses: ResponseSender,
     account: InputAccount,
+    pace: SessionPace,
+    /// Time before which no further input is handled, because the records of this client lead to no requests.
+    input_paused_until: Option<Instant>,
     /// Cancelled when the session ends.
     cancelled: CancellationToken,
     /// Cancellation tokens of the requests in flight, by request id.
@@ -148,6 +159,7 @@
         let account = frontend
             .input_budget
             .open(peer, requests.clone(), responses.clone());
+        let pace = SessionPace::new(frontend.input_pace.clone());
         let head_timeout_us = frontend.settings.dispatcher.listen.head_timeout_us;
         let head_timeout = Duration::from_micros(head_timeout_us);
         Self {
@@ -155,6 +167,8 @@
             requests,
             responses,
             account,
+            pace,
+            input_paused_until: None,
             cancelled: CancellationToken::new(),
             in_flight: HashMap::new(),
             invalid_requests: 0,
@@ -180,6 +194,11 @@
                 tracing::debug!("client disconnected: too many responses are unwritten");
                 return SessionEnd::Disconnected;
             }
+            if self.is_turn_over() {
+                tokio::task::yield_now().await;
+                self.end_turn(&plan);
+            }
+            let input_paused_until = self.input_paused_until;
             let is_close_due = plan.is_close_due();
             if is_close_due {
                 self.close_delays += 1;
@@ -192,7 +211,9 @@
             let event = tokio::select! {
                 // Input is polled first: a request that has arrived is served although its connection has to close.
                 biased;
-                event = input.next(self.mode) => SessionEvent::Input(event),
+                event = input.next(self.mode), if input_paused_until.is_none() => {
+                    SessionEvent::Input(event)
+                }
                 () = std::future::ready(()), if is_close_due => SessionEvent::CloseDue,
                 () = self.requests.finished.notified() => SessionEvent::RequestFinished,
                 () = sleep_until(plan.close_at), if plan.close_at.is_some() => SessionEvent::PlanChanged,
@@ -202,11 +223,41 @@
                 () = sleep_until(plan.complete_by), if plan.complete_by.is_some() => {
                     SessionEvent::IncompleteTimeout
                 }
+                () = sleep_until(input_paused_until), if input_paused_until.is_some() => {
+                    SessionEvent::InputResumed
+                }
                 _ = phase.changed() => SessionEvent::PlanChanged,
             };
             if let Some(end) = self.handle(event, &plan, input, permit) {
                 return end;
             }
+            self.pace.count_reads(input.take_reads());
+        }
+    }
+
+    /// Returns whether other tasks must run before further input is handled.
+    fn is_turn_over(&self) -> bool {
+        let is_over = self.pace.is_turn_over(false);
+        is_over && self.pace.is_turn_over(self.is_catching_up())
+    }
+
+    /// Returns whether input that has arrived during a pause of the process is being read.
+    fn is_catching_up(&self) -> bool {
+        let unread_time = self.frontend.pause_detector.unread_time(Instant::now());
+        !unread_time.is_zero()
+    }
+
+    /// Ends a turn of input. Requests whose time-out input has delayed for too long are rejected; after a pause of the
+    /// process, input that has arrived meanwhile is handled first.
+    fn end_turn(&mut self, plan: &WaitPlan) {
+        let now = Instant::now();
+        self.input_paused_until = self.pace.end_turn(now);
+        let is_overdue = plan
+            .complete_by
+            .is_some_and(|by| now > by + MAX_TIMEOUT_DELAY);
+        if is_overdue && !self.is_catching_up() {
+            self.time_out_incomplete();
+            self.report_memory();
         }
     }
 
@@ -237,6 +288,7 @@
     ) -> Option<SessionEnd> {
         match event {
             SessionEvent::PlanChanged | SessionEvent::Input(InputEvent::Discarded) => {}
+            SessionEvent::InputResumed => self.input_paused_until = None,
             SessionEvent::Input(InputEvent::Disconnected) => return Some(SessionEnd::Disconnected),
             SessionEvent::Input(InputEvent::Undecodable(error)) => {
                 self.stop_decoding(error.into());
@@ -245,7 +297,7 @@
             }
             SessionEvent::Input(InputEvent::Record(record)) => {
                 permit.mark_busy();
-                self.handle_record(record);
+                self.handle_records(record, input);
                 self.update_permit(permit);
                 self.report_memory();
             }
@@ -281,7 +333,12 @@
     /// Ends a wait for input, unless input has arrived. This is checked right before, since the process may have been
     /// paused during the wait.
     fn end_wait(&mut self, end: WaitEnd, input: &mut SessionInput) -> Option<SessionEnd> {
-        match input.read_now(self.mode) {
+        // Input of a client whose input is paused is not awaited.
+        let arrived = match self.input_paused_until {
+            None => input.read_now(self.mode),
+            Some(_) => ImmediateInput::Empty,
+        };
+        match arrived {
             ImmediateInput::Disconnected => return Some(SessionEnd::Disconnected),
             ImmediateInput::Buffered => return None,
             ImmediateInput::Empty | ImmediateInput::Discarded => {}
--- a/crates/platform/src/frontend/session/incoming.rs
+++ b/crates/platform/src/frontend/session/incoming.rs
@@ -5,7 +5,7 @@
 use crate::frontend::input_budget::retry_after_lack_of_memory;
 use crate::frontend::request_task::{self, TransactionGuard};
 use crate::frontend::response_writer::{HttpStatus, Outgoing};
-use crate::frontend::session_input::InputMode;
+use crate::frontend::session_input::{InputEvent, InputMode, SessionInput};
 use crate::shutdown::ShutdownPhase;
 use bytes::Bytes;
 use pointspindle::IdempotencyKey;
@@ -75,10 +75,24 @@
         self.responses.send(outgoing);
     }
 
-    pub(super) fn handle_record(&mut self, record: Record) {
-        let unread_time = self.frontend.pause_detector.unread_time(Instant::now());
-        let now = Instant::now().into_std();
-        let outcome = self.requests.lock().handle(record, now);
+    /// Handles a record and those that have been read together with it, until the turn is over.
+    pub(super) fn handle_records(&mut self, first: Record, input: &mut SessionInput) {
+        let now = Instant::now();
+        let unread_time = self.frontend.pause_detector.unread_time(now);
+        let mut next = Some(InputEvent::Record(first));
+        while let Some(InputEvent::Record(record)) = next {
+            self.handle_record(record, now, unread_time);
+            let is_next_handled = self.mode != InputMode::Discarding && !self.is_turn_over();
+            next = is_next_handled.then(|| input.next_buffered()).flatten();
+        }
+        if let Some(InputEvent::Undecodable(error)) = next {
+            self.stop_decoding(error.into());
+        }
+    }
+
+    fn handle_record(&mut self, record: Record, now: Instant, unread_time: Duration) {
+        self.pace.count_record();
+        let outcome = self.requests.lock().handle(record, now.into_std());
         match outcome {
             Ok(outcome) => self.handle_outcome(outcome, unread_time),
             Err(error) => self.stop_decoding(error.into()),
@@ -89,9 +103,13 @@
     fn handle_outcome(&mut self, outcome: RecordOutcome, unread_time: Duration) {
         match outcome {
             RecordOutcome::Pending => {}
-            RecordOutcome::Reply(bytes) => self.send(Outgoing::bytes(bytes)),
+            RecordOutcome::Reply(bytes) => {
+                self.pace.count_reply();
+                self.send(Outgoing::bytes(bytes));
+            }
             RecordOutcome::Invalid { id, reason } => self.reject_invalid(id, reason.into()),
             RecordOutcome::TooManyOpen { id } => {
+                self.pace.count_reply();
                 self.send(Outgoing::end_unopened(id, ProtocolStatus::Overloaded));
             }
             RecordOutcome::UnknownRole { id } => {
@@ -114,6 +132,7 @@
 
     fn abort(&mut self, id: u16, was_complete: bool) {
         if !was_complete {
+            self.pace.count_reply();
             self.send(Outgoing::end_request(id, ProtocolStatus::Complete));
         } else if let Some(request) = self.in_flight.get(&id) {
             request.cancel();
@@ -146,6 +165,7 @@
     /// Counts a valid request, which makes up for an invalid one.
     fn count_valid(&mut self) {
         self.has_received_valid_request = true;
+        self.pace.count_request();
         self.account.mark_established();
         if self.mode == InputMode::Accepting {
             self.invalid_requests = self.invalid_requests.saturating_sub(1);
@@ -155,7 +175,10 @@
     /// Begins a complete request.
     fn begin(&mut self, id: u16, params: &Bytes, body: Bytes, unread_time: Duration) {
         match client_request::parse(params, &body, &self.frontend.settings.classes) {
-            Ok(ClientMessage::HealthCheck) => self.reply_to_health_check(id),
+            Ok(ClientMessage::HealthCheck) => {
+                self.pace.count_request();
+                self.reply_to_health_check(id);
+            }
             Ok(ClientMessage::Request(mut request)) => {
                 let timeout = Duration::from_millis(request.timeout_ms);
                 request.timeout_ms = timeout.saturating_sub(unread_time).as_millis() as u64;
--- a/crates/platform/src/frontend/session_input.rs
+++ b/crates/platform/src/frontend/session_input.rs
@@ -53,6 +53,8 @@
     codec: RecordCodec,
     /// Input that is not decoded yet.
     buffer: BytesMut,
+    /// Number of reads from the socket since [`SessionInput::take_reads`].
+    reads: usize,
 }
 
 impl SessionInput {
@@ -62,9 +64,15 @@
             socket,
             codec: RecordCodec::default(),
             buffer: BytesMut::new(),
+            reads: 0,
         }
     }
 
+    /// Returns the number of reads from the socket since the previous call.
+    pub fn take_reads(&mut self) -> usize {
+        std::mem::take(&mut self.reads)
+    }
+
     /// Waits for the next event on the input. Cancel safe.
     pub async fn next(&mut self, mode: InputMode) -> InputEvent {
         if mode == InputMode::Discarding {
@@ -74,10 +82,8 @@
             };
         }
         loop {
-            match self.codec.decode(&mut self.buffer) {
-                Ok(None) => {}
-                Ok(Some(record)) => return InputEvent::Record(record),
-                Err(error) => return InputEvent::Undecodable(error),
+            if let Some(event) = self.next_buffered() {
+                return event;
             }
             match self.receive().await {
                 Ok(1..) => {}
@@ -90,6 +96,15 @@
         }
     }
 
+    /// Returns the next event of the input that has been read already, if it holds one. It is not for
+    /// [`InputMode::Discarding`].
+    pub fn next_buffered(&mut self) -> Option<InputEvent> {
+        match self.codec.decode(&mut self.buffer) {
+            Ok(record) => record.map(InputEvent::Record),
+            Err(error) => Some(InputEvent::Undecodable(error)),
+        }
+    }
+
     /// Reads the available input without waiting.
     pub fn read_now(&mut self, mode: InputMode) -> ImmediateInput {
         let mut bytes = [0; READ_BYTES];
@@ -111,7 +126,9 @@
 
     /// Discards input until the client has closed the connection or has sent no input for [`TRANSIT_TIME`].
     pub async fn discard_until_idle(&mut self) {
-        while let Ok(Ok(1..)) = tokio::time::timeout(TRANSIT_TIME, self.discard()).await {}
+        while let Ok(Ok(1..)) = tokio::time::timeout(TRANSIT_TIME, self.discard()).await {
+            tokio::task::yield_now().await;
+        }
     }
 
     /// Waits for input and adds it to the buffer. Returns the number of bytes, which is 0 if the client has closed the
@@ -125,6 +142,7 @@
             let mut bytes = [0; READ_BYTES];
             if let Some(read) = self.socket.try_read(&mut bytes)? {
                 self.buffer.extend_from_slice(&bytes[..read]);
+                self.reads += 1;
                 return Ok(read);
             }
         }
@@ -137,6 +155,7 @@
         loop {
             self.socket.readable().await?;
             if let Some(read) = self.socket.try_read(&mut [0; READ_BYTES])? {
+                self.reads += 1;
                 return Ok(read);
             }
         }
