Ask discovery for as long as it does not answer, with a bound on the requests that wait

Cause: a request without a response was followed by others up to four; then nothing was sent until all four were given up, 8 s after the first. A server that was silent answers only what it receives afterwards. Change: another request every 0.5 s while there is no response. At most six wait; beyond that the oldest gives way, and the first one after 8 s, since a slow server may be answering it. Evidence: the new test, 14 polls without a response, fails before the change (no further poll within 15 s) and passes after it; the server that begins each response after 2 s is still read.

--- a/crates/cli/tests/platform/discovery.rs
+++ b/crates/cli/tests/platform/discovery.rs
@@ -197,3 +197,22 @@
     }
     drop(first_stream);
 }
+
+/// Guards against a dispatcher that stops asking during a silence of discovery and sends requests to a draining host after
+/// it: it polls for as long as there is no response (review case 9).
+#[tokio::test]
+async fn server_is_polled_throughout_a_long_silence() {
+    const SILENT_POLLS: usize = 14;
+    let mut discovery = DiscoveryServer::start_silent_for(SILENT_POLLS).await;
+    let old = ScriptedCacheHost::start_serving("old").await;
+    let new = ScriptedCacheHost::start_serving("new").await;
+    let known = [endpoint_entry("s-1", old.address, "box", "Ready")];
+    let dispatcher = DispatcherProcess::start(discovery.address, &known).await;
+    let stream = discovery.next_poll().await;
+    let changed = [
+        endpoint_entry("s-1", old.address, "box", "Draining"),
+        endpoint_entry("s-2", new.address, "box", "Ready"),
+    ];
+    stream.send(discovery_event(2, &endpoint_list(2, false, &changed)));
+    wait_until_served(&dispatcher, "new").await;
+}
--- a/crates/cli/tests/platform/support/discovery_server.rs
+++ b/crates/cli/tests/platform/support/discovery_server.rs
@@ -48,13 +48,27 @@
 
     /// Starts a server that begins each of its responses after a delay.
     pub async fn start_with_delay(delay: Duration) -> Self {
+        Self::start_with(delay, 0).await
+    }
+
+    /// Starts a server that accepts its first polls and never responds to them.
+    pub async fn start_silent_for(polls: usize) -> Self {
+        Self::start_with(Duration::ZERO, polls).await
+    }
+
+    async fn start_with(delay: Duration, silent_polls: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (poll_sender, polls) = mpsc::unbounded_channel();
         let silent = Arc::new(AtomicBool::new(false));
         let streams_are_silent = silent.clone();
         tokio::spawn(async move {
+            let mut never_answered = Vec::new();
             while let Ok((socket, _)) = listener.accept().await {
+                if never_answered.len() < silent_polls {
+                    never_answered.push(socket);
+                    continue;
+                }
                 let silent = streams_are_silent.clone();
                 tokio::spawn(serve_stream(socket, delay, poll_sender.clone(), silent));
             }
--- a/crates/platform/src/endpoint_discovery/stream.rs
+++ b/crates/platform/src/endpoint_discovery/stream.rs
@@ -10,11 +10,12 @@
     DiscoveryEvent, ServerSentEvent, ServerSentEventCodec, ServerSentEventError,
 };
 use pointspindle_transport::{RetryingReadHalf, RetryingWriteHalf};
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
 use tokio_util::codec::Decoder;
 
@@ -23,12 +24,12 @@
 
 /// Time without data after which a stream is considered dead; the server sends a comment each second.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Time without a response after which a request is hedged. If two requests get no response, the third one is sent
-/// within four seconds of the last data of the previous stream.
-const HEDGE_DELAY: Duration = Duration::from_millis(700);
+/// Time without a response after which another request is sent, for as long as there is none: a server that was silent
+/// answers only the requests that it receives afterwards, and a drain takes effect a second after it is told.
+const HEDGE_DELAY: Duration = Duration::from_millis(500);
 /// Largest number of concurrent requests that await a response.
-const MAX_HEDGED_REQUESTS: usize = 4;
-/// Time after which all requests that await a response are cancelled.
+const MAX_HEDGED_REQUESTS: usize = 6;
+/// Time for which the oldest request awaits a response from a slow server.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// First backoff between streams, which is doubled each time and has jitter.
 const MIN_BACKOFF: Duration = Duration::from_millis(10);
@@ -48,8 +49,6 @@
     Request(#[from] hyper::http::Error),
     #[error("unexpected HTTP status {0}")]
     Status(hyper::StatusCode),
-    #[error("no response within {RESPONSE_TIMEOUT:?}")]
-    ResponseTimeout,
     #[error("no data within {IDLE_TIMEOUT:?}")]
     IdleTimeout,
     #[error("stream cannot be decoded: {0}")]
@@ -117,34 +116,75 @@
     read_stream(state, stream, received).await
 }
 
+/// Requests that await a response, oldest first.
+#[derive(Default)]
+struct HedgedRequests {
+    tasks: JoinSet<Result<Stream, StreamError>>,
+    waiting: VecDeque<WaitingRequest>,
+}
+
+struct WaitingRequest {
+    sent_at: Instant,
+    task: AbortHandle,
+}
+
+impl HedgedRequests {
+    /// Sends another request. If too many await a response, the oldest gives way; the very first one, which a slow server
+    /// may be answering, only after [`RESPONSE_TIMEOUT`].
+    fn send(&mut self, address: &str, last_revision: u64) {
+        let sent_at = Instant::now();
+        self.waiting.retain(|request| !request.task.is_finished());
+        let is_full = self.waiting.len() >= MAX_HEDGED_REQUESTS;
+        let is_first_timed_out = self
+            .waiting
+            .front()
+            .is_some_and(|first| sent_at.duration_since(first.sent_at) >= RESPONSE_TIMEOUT);
+        let replaced = match is_first_timed_out {
+            true => self.waiting.pop_front(),
+            false if is_full => self.waiting.remove(1),
+            false => None,
+        };
+        if let Some(request) = replaced {
+            request.task.abort();
+        }
+        let task = self.tasks.spawn(open(address.to_owned(), last_revision));
+        self.waiting.push_back(WaitingRequest { sent_at, task });
+    }
+
+    /// Waits for the next request that ends; pending if there is none. Cancel safe.
+    async fn next_ended(&mut self) -> Result<Stream, StreamError> {
+        loop {
+            match self.tasks.join_next().await {
+                Some(Ok(opened)) => return opened,
+                Some(Err(error)) if error.is_cancelled() => {}
+                Some(Err(error)) => return Err(error.into()),
+                None => return std::future::pending().await,
+            }
+        }
+    }
+}
+
 /// Returns the first stream that begins. A request without a response is hedged, since the peer may be down or only
 /// slow.
 async fn open_hedged(
     state: &Arc<Mutex<DiscoveryState>>,
     address: &str,
 ) -> Result<Stream, StreamError> {
-    let mut requests = JoinSet::new();
-    let started = Instant::now();
-    let mut next_request_at = started;
+    let mut requests = HedgedRequests::default();
     loop {
-        if Instant::now() >= next_request_at && requests.len() < MAX_HEDGED_REQUESTS {
-            let last_revision = lock_state(state).last_revision();
-            requests.spawn(open(address.to_owned(), last_revision));
-            next_request_at = Instant::now() + HEDGE_DELAY;
-        }
-        let opened = tokio::select! {
-            Some(opened) = requests.join_next() => opened,
-            () = tokio::time::sleep_until(next_request_at),
-                if requests.len() < MAX_HEDGED_REQUESTS => continue,
-            () = tokio::time::sleep_until(started + RESPONSE_TIMEOUT) => {
-                return Err(StreamError::ResponseTimeout);
+        requests.send(address, lock_state(state).last_revision());
+        let next_request_at = Instant::now() + HEDGE_DELAY;
+        loop {
+            let opened = tokio::select! {
+                opened = requests.next_ended() => opened,
+                () = tokio::time::sleep_until(next_request_at) => break,
+            };
+            match opened {
+                Ok(stream) => return Ok(stream),
+                // An error is returned only if no other request is awaited.
+                Err(reason) if requests.tasks.is_empty() => return Err(reason),
+                Err(reason) => tracing::debug!(address, %reason, "hedged discovery request failed"),
             }
-        };
-        match opened.unwrap_or_else(|error| Err(error.into())) {
-            Ok(stream) => return Ok(stream),
-            // An error is returned only if no other request is awaited.
-            Err(reason) if requests.is_empty() => return Err(reason),
-            Err(reason) => tracing::debug!(address, %reason, "hedged discovery request failed"),
         }
     }
 }
