Tests: purge only once a dispatcher is registered after a partition

Cause: after the partition the test waits until the dispatcher has its proof of purges, and purges at once. The registration in etcd is renewed by itself and may come after it; the answer of the command is right, and the test's precondition did not hold. Change: the test purges until a dispatcher is registered, within the time of every step. What it asks of the answer is as before.

--- a/crates/cli/tests/purge_promise.rs
+++ b/crates/cli/tests/purge_promise.rs
@@ -185,6 +185,17 @@
     tokio::task::spawn_blocking(run).await.unwrap()
 }
 
+/// Purges until a dispatcher is registered: after a partition, a dispatcher may have its proof before its registration.
+async fn purge_once_registered(etcd: SocketAddr) -> Output {
+    loop {
+        let output = purge(etcd).await;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if !text.contains("0 of 0 dispatchers") {
+            return output;
+        }
+    }
+}
+
 /// A dispatcher with a purge time limit of 1.5 s, the etcd that it watches, and its cache host.
 struct Platform {
     etcd: EtcdEmulator,
@@ -321,7 +332,9 @@
 
 /// `purge --wait` reports when a purge is in force everywhere, and names a dispatcher without a time limit for purges.
 async fn check_purge_confirmation(platform: &mut Platform) {
-    let output = purge(platform.etcd_address).await;
+    let output = timeout(TEST_TIMEOUT, purge_once_registered(platform.etcd_address))
+        .await
+        .expect("no dispatcher was registered in time");
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     assert!(
         output.status.success() && text.contains("in force everywhere"),
